--- /dev/null
+++ b/linnetstile/interface.py
@@ -0,0 +1,290 @@
+"""The vocabulary of linnetstile: what a relay is told (settings, events) and what it may do (actions)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Union
+
+
+class Effect(Enum):
+    """What repeating a message may do at its destination."""
+
+    SAFE = "safe"  # repeating changes nothing
+    KEYED = "keyed"  # the destination drops repeats of its key for a while
+    UNSAFE = "unsafe"  # every run has an effect
+
+
+class Scope(Enum):
+    """Which endpoints of a destination share the memory of a key."""
+
+    ALL = "all"
+    ZONE = "zone"
+    ENDPOINT = "endpoint"
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+    @property
+    def proves_no_effect(self) -> bool:
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
+
+class Listing(Enum):
+    """What the list of endpoints says of one of them."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    WHOLE = "whole"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Rates(Enum):
+    """What the listed rates are worth."""
+
+    NONE = "none"
+    NOMINAL = "nominal"
+    ROUGH = "rough"
+
+
+class Decay(Enum):
+    """How worth falls once the aim has passed."""
+
+    LINE = "line"
+    HALVES = "halves"
+
+
+def _need(ok: bool, field: str, text: str) -> None:
+    if not ok:
+        raise ValueError(f"{field}: {text}")
+
+
+@dataclass(frozen=True, slots=True)
+class MessageClass:
+    name: str
+    effect: Effect
+    aim_ms: float
+    deadline_ms: float
+    worth: float = 1.0
+    late_share: float = 0.0
+    key_window_ms: float = 0.0
+    key_scope: Scope = Scope.ALL
+    in_order: bool = False
+
+    def __post_init__(self) -> None:
+        _need(self.aim_ms > 0, "classes.aim_ms", "must be above 0")
+        _need(self.deadline_ms > 0, "classes.deadline_ms", "must be above 0")
+        _need(self.worth >= 0, "classes.worth", "must not be negative")
+        _need(0 <= self.late_share <= 1, "classes.late_share", "must lie in 0 to 1")
+        _need(self.key_window_ms >= 0, "classes.key_window_ms", "must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    quota_per_s: float  # over all relays
+
+
+@dataclass(frozen=True, slots=True)
+class DestinationKind:
+    name: str
+    batch: int = 1  # messages in one call, at most
+    routes_apart: bool = False  # each endpoint has its own limit, pace and outages
+
+    def __post_init__(self) -> None:
+        _need(self.batch >= 1, "kinds.batch", "must be 1 or more")
+
+
+@dataclass(frozen=True, slots=True)
+class Safety:
+    """Figures of the rules."""
+
+    answer_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    cold_share: float = 1.0  # capacity left right after an outage
+    cold_ms: float = 0.0
+    fall_multiple: float = 1.0
+    fall_ms: float = 1000.0
+    ask_within_ms: float = 0.0
+    key_rest_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        for field in self.__slots__:
+            _need(getattr(self, field) >= 0, f"safety.{field}", "must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Goal:
+    """Weights of the parts of the result."""
+
+    whole: float = 1.0
+    worst_window: float = 0.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[MessageClass, ...]
+    kinds: tuple[DestinationKind, ...]
+    slots: int  # calls out at once
+    hold: int  # messages held at once
+    attempts: int  # tries of one message
+    relays: int = 1
+    zone: int = 0
+    tenants: tuple[Tenant, ...] = ()
+    over_share_worth: float = 1.0
+    decay: Decay = Decay.LINE
+    rates: Rates = Rates.NONE
+    ask_for_list: bool = False
+    probing: bool = False
+    cancelling: bool = False
+    streams_per_connection: int = 1
+    idle_ms: float = 0.0
+    connect_timeout_ms: float = 0.0
+    tick_ms: float = 1.0
+    longest_advice_ms: float = 0.0  # longest stay-away a client heeds; 0 = no advice
+    cross_zone_price: float = 0.0
+    route_fees: tuple[float, ...] = ()  # by zone
+    limit_report: tuple[int, int] | None = None  # where a report holds share left and limit a second
+    safety: Safety = Safety()
+    goal: Goal = Goal()
+
+    def __post_init__(self) -> None:
+        _need(bool(self.classes), "classes", "there must be at least one")
+        for field in ("slots", "hold", "attempts", "relays", "streams_per_connection"):
+            _need(getattr(self, field) >= 1, field, "must be 1 or more")
+        for field in ("idle_ms", "connect_timeout_ms", "longest_advice_ms", "over_share_worth"):
+            _need(getattr(self, field) >= 0, field, "must not be negative")
+        _need(self.tick_ms > 0, "tick_ms", "must be above 0")
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    id: int
+    destination: int
+    listing: Listing
+    kind: int = 0
+    zone: int = 0
+    rate: float = 0.0  # listed calls a second for its destination (or route); see Rates
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointList:
+    kind: ListKind
+    entries: tuple[Endpoint, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    id: int
+    destination: int
+    class_: int
+    left_ms: float
+    tenant: int = 0
+    key: int = 0  # 0 = none
+    work_ms: float | None = None
+    again: bool = False
+    from_dead_relay: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    id: int
+    attempt: int
+    endpoint: int
+    outcome: Outcome
+    latency_ms: float = 0.0
+    finished: bool = False
+    wait_ms: float = 0.0  # told with Outcome.FULL
+    no_slot: bool = False  # with Outcome.NOT_SENT
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    endpoint: int
+    outcome: Outcome
+    latency_ms: float = 0.0
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: int
+
+
+Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired]
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    id: int
+    endpoint: int
+    give_up_at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Not delivered, and trying again is harmless."""
+
+    id: int
+    stay_away_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Not delivered as far as known; promises nothing."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    id: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    delay_ms: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    endpoint: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchList:
+    """Ask discovery for the list and its changes from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Action = Union[Send, Refuse, Fail, Cancel, SetTimer, Probe, WatchList, Log]
--- /dev/null
+++ b/linnetstile/wirehost.py
@@ -0,0 +1,236 @@
+"""Speaks the operators' wire on standard input and output; every decision is left to `control.Relay`."""
+
+from __future__ import annotations
+
+import json
+import struct
+import sys
+from collections.abc import Iterator
+from typing import Any, BinaryIO
+
+from . import interface as api
+from .control import Relay
+
+EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.ENDPOINT}
+RATES = {"nominal": api.Rates.NOMINAL, "rough": api.Rates.ROUGH}
+OUTCOMES = (api.Outcome.ERROR, api.Outcome.OK, api.Outcome.FULL, api.Outcome.TIMEOUT,
+            api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.NOT_SENT)
+LISTINGS = {1: api.Listing.READY, 2: api.Listing.GONE, 3: api.Listing.DRAINING}
+LIST_KINDS = (api.ListKind.CHANGES, api.ListKind.WHOLE, api.ListKind.CACHED, api.ListKind.FAILED)
+ENTRY = struct.Struct("<BfdHBHI")
+IGNORED = (10, 90)  # Begun (no class here streams) and NeighbourSays (peers share nothing)
+
+
+class WireError(Exception):
+    """What came in does not follow the wire."""
+
+
+def settings_from(text: bytes) -> api.Settings:
+    """Translates the settings text; keys that are not known are skipped."""
+    try:
+        raw: dict[str, Any] = json.loads(text)
+        extra, limits, safety = raw["extra"], raw["limits"], raw["safety"]
+        goal, feedback, prices = raw.get("goal", {}), raw.get("feedback", {}), raw.get("prices", {})
+        kinds = raw["kinds"]
+        batches = extra.get("per-call", [])
+        apart = extra.get("separate-routes", [])
+        fields = feedback.get("fields", [])
+        return api.Settings(
+            classes=tuple(
+                api.MessageClass(
+                    name=c["name"], effect=EFFECTS[c["effect"]], aim_ms=c["aim-ms"],
+                    deadline_ms=c["deadline-ms"], worth=c.get("worth", 1.0),
+                    late_share=c.get("late-share", 0.0), key_window_ms=c.get("window-ms", 0.0),
+                    key_scope=SCOPES[c.get("dedup-scope", "all")], in_order=bool(c.get("by-arrival", False)),
+                )
+                for c in raw["classes"]
+            ),
+            kinds=tuple(
+                api.DestinationKind(
+                    name=name, batch=batches[n] if n < len(batches) else 1,
+                    routes_apart=bool(apart[n]) if n < len(apart) else False,
+                )
+                for n, name in enumerate(kinds)
+            ),
+            slots=extra["call-slots"], hold=limits["open-cap"], attempts=limits["try-limit"],
+            relays=raw.get("balancers", 1), zone=raw.get("az", 0),
+            tenants=tuple(api.Tenant(t["name"], t["quota-per-s"]) for t in raw.get("orgs", [])),
+            over_share_worth=raw.get("over-share-worth", 1.0),
+            decay=api.Decay.HALVES if extra.get("loses-worth") == "halves" else api.Decay.LINE,
+            rates=RATES.get(raw.get("weight-kind", "silent"), api.Rates.NONE),
+            ask_for_list=raw.get("registry-mode") == "ask",
+            probing=bool(limits.get("probing", False)), cancelling=bool(limits.get("cancelling", False)),
+            streams_per_connection=limits.get("streams-per-conn", 1),
+            idle_ms=limits.get("conn-idle-ms", 0.0),
+            connect_timeout_ms=limits.get("connect-timeout-ms", 0.0), tick_ms=raw.get("tick-ms", 1.0),
+            longest_advice_ms=limits.get("max-retry-after-ms", 0.0) if limits.get("retry-after") else 0.0,
+            cross_zone_price=prices.get("cross-zone", 0.0), route_fees=tuple(extra.get("carriage", [])),
+            limit_report=(fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None,
+            safety=api.Safety(
+                answer_slack_ms=safety.get("answer-slack-ms", 0.0),
+                drain_grace_ms=safety.get("drain-grace-ms", 0.0), cold_share=safety.get("cold-from", 1.0),
+                cold_ms=safety.get("cold-ms", 0.0), fall_multiple=safety.get("fall-multiple", 1.0),
+                fall_ms=safety.get("fall-ms", 1000.0), ask_within_ms=safety.get("ask-within-ms", 0.0),
+                key_rest_ms=safety.get("key-quiet-ms", 0.0),
+            ),
+            goal=api.Goal(goal.get("whole", 1.0), goal.get("worst-window", 0.0),
+                          goal.get("worst-class", 0.0), goal.get("worst-tenant", 0.0)),
+        )
+    except KeyError as error:
+        raise WireError(f"settings: {error} is missing or not known") from error
+    except (ValueError, TypeError, AttributeError, IndexError) as error:
+        raise WireError(f"settings: {error}") from error
+
+
+class Host:
+    """One `Relay` an instance, and the numbered lists that the whole process shares."""
+
+    def __init__(self) -> None:
+        self.relays: dict[int, Relay] = {}
+        self.lists: dict[int, tuple[api.Endpoint, ...]] = {}
+
+    def batch(self, now: float, count: int, body: bytes) -> bytes:
+        """One batch of events in, one reply frame out."""
+        events: dict[int, list[api.Event]] = {}
+        for code, data in self._records(count, body):
+            self._take(code, data, events)
+        out: list[bytes] = []
+        for instance, mine in events.items():
+            if instance in self.relays:
+                out += [encode(instance, now, action) for action in self.relays[instance].handle(now, mine)]
+        return struct.pack("<II", sum(map(len, out)), len(out)) + b"".join(out)
+
+    @staticmethod
+    def _records(count: int, body: bytes) -> Iterator[tuple[int, bytes]]:
+        at = 0
+        for _ in range(count):
+            if at + 5 > len(body):
+                raise WireError("frame ends inside a record")
+            code, size = struct.unpack_from("<BI", body, at)
+            if at + 5 + size > len(body):
+                raise WireError(f"record {code} is longer than its frame")
+            yield code, body[at + 5 : at + 5 + size]
+            at += 5 + size
+        if at != len(body):
+            raise WireError(f"frame holds {len(body) - at} bytes after its last record")
+
+    def _take(self, code: int, data: bytes, events: dict[int, list[api.Event]]) -> None:
+        if code == 20:
+            number, size = struct.unpack_from("<BI", data)
+            if len(data) != 5 + size * ENTRY.size:
+                raise WireError("list of endpoints is cut short")
+            self.lists[number] = tuple(entry(row) for row in ENTRY.iter_unpack(data[5:]))
+            return
+        (instance,) = struct.unpack_from("<I", data)
+        if code == 80:
+            seed, size = struct.unpack_from("<QI", data, 4)
+            if len(data) != 16 + size:
+                raise WireError("settings are cut short")
+            self.relays[instance] = Relay(settings_from(data[16:]), seed)
+            events[instance] = []
+        elif code == 50:
+            self.relays.pop(instance, None)
+            events.pop(instance, None)
+        elif code not in IGNORED:
+            events.setdefault(instance, []).append(self._event(code, data))
+
+    def _event(self, code: int, data: bytes) -> api.Event:
+        if code == 110:
+            tid, lane, tenant, key, left, hint, dest, opts = struct.unpack_from("<IBIQddfB", data, 4)
+            return api.Message(tid, int(dest), lane, left, tenant, key, hint if opts & 1 else None,
+                               bool(opts & 2), bool(opts & 16))
+        if code == 100:
+            tid, go, endpoint, result, cost, done, wait, n = struct.unpack_from("<IHIBdBIB", data, 4)
+            report = struct.unpack_from(f"<{n}f", data, 29)
+            outcome = outcome_of(result)
+            full = outcome is api.Outcome.FULL
+            return api.AttemptEnded(tid, go, endpoint, outcome, cost, bool(done), wait if full else 0.0,
+                                    bool(wait) and outcome is api.Outcome.NOT_SENT, report)
+        if code == 30:
+            kind, _, number = struct.unpack_from("<BQB", data, 4)
+            if kind >= len(LIST_KINDS):
+                raise WireError(f"unknown list kind {kind}")
+            listed = LIST_KINDS[kind]
+            if listed is api.ListKind.FAILED:
+                return api.EndpointList(listed)
+            if number not in self.lists:
+                raise WireError(f"list {number} was never sent")
+            return api.EndpointList(listed, self.lists[number])
+        if code == 40:
+            return api.TimerFired(struct.unpack_from("<Q", data, 4)[0])
+        if code == 60:
+            endpoint, result, cost, n = struct.unpack_from("<IBdB", data, 4)
+            return api.ProbeEnded(endpoint, outcome_of(result), cost, struct.unpack_from(f"<{n}f", data, 18))
+        if code == 70:
+            return api.Withdrawn(struct.unpack_from("<I", data, 4)[0])
+        raise WireError(f"unknown event code {code}")
+
+
+def outcome_of(code: int) -> api.Outcome:
+    if code >= len(OUTCOMES):
+        raise WireError(f"unknown outcome {code}")
+    return OUTCOMES[code]
+
+
+def entry(row: tuple[Any, ...]) -> api.Endpoint:
+    status, weight, _, kind, zone, destination, ident = row
+    if status not in LISTINGS:
+        raise WireError(f"unknown endpoint status {status}")
+    return api.Endpoint(ident, destination, LISTINGS[status], kind, zone, weight)
+
+
+def encode(instance: int, now: float, action: api.Action) -> bytes:
+    """One action as a record."""
+    match action:
+        case api.Send(ident, endpoint, until):
+            code, body = 10, struct.pack("<IIId", instance, ident, endpoint, until)
+        case api.Refuse(ident, stay):
+            code, body = 20, struct.pack("<IId", instance, ident, stay)
+        case api.Fail(ident):
+            code, body = 30, struct.pack("<II", instance, ident)
+        case api.Cancel(ident, attempt):
+            code, body = 40, struct.pack("<IIH", instance, ident, attempt)
+        case api.SetTimer(delay, token):
+            code, body = 50, struct.pack("<IdQ", instance, delay, token)
+        case api.Probe(endpoint):
+            code, body = 60, struct.pack("<II", instance, endpoint)
+        case api.WatchList():
+            code, body = 110, struct.pack("<IB", instance, 1)
+        case api.Log(text):
+            line = text.encode()[:65535]
+            code, body = 90, struct.pack("<IH", instance, len(line)) + line
+    return struct.pack("<BI", code, len(body)) + body
+
+
+def exactly(stream: BinaryIO, size: int) -> bytes:
+    data = stream.read(size)
+    if len(data) != size:
+        raise WireError("input ends inside a frame")
+    return data
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    host = Host()
+    while head := source.read(16):
+        if len(head) != 16:
+            raise WireError("input ends inside a frame header")
+        size, now, count = struct.unpack("<IdI", head)
+        sink.write(host.batch(now, count, exactly(source, size)))
+        sink.flush()
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except (WireError, struct.error) as error:
+        print(f"wirehost: malformed input: {error}", file=sys.stderr)
+        return 1
+    except BrokenPipeError:
+        print("wirehost: the other side went away", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
