--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -19,10 +19,11 @@
 RETRY_MS = 120.0  # first pause before another try: about one round trip; doubles from try to try
 RETRY_MAX_MS = 4000.0  # no pause is longer: beyond it a message's aim is lost anyway
 GUESS_MS = 500.0  # latency assumed of a destination that has not answered yet
-DEVIATIONS = 5.0  # a time-out lies so many mean deviations above the mean: answers are skewed, not normal
+DEVIATIONS = 10.0  # a time-out lies so many mean deviations above the mean: answers have a long tail
+OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
-BURST_S = 1.0  # calls saved up for a clump, in seconds of the pace
-GROWTH = 0.04  # pace gained with each success that the pace held back, as a share of the own part
+BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, and at least so many
+GROWTH = 0.1  # pace gained with each success while the pace holds calls back
 CUT = 0.7  # pace kept after a refusal above the limit
 ROUGH = 1.5  # a rough listed rate may be this much too high
 UNLISTED = 2.0  # calls a second tried at a destination with no listed rate, until refusals teach better
@@ -99,7 +100,7 @@
 
     def suspect(self, now: float) -> bool:
         """Out, or an answer is overdue and none came since that call: hung, stalled, gone or slow."""
-        overdue = now - 0.6 * self.patience()
+        overdue = now - (self.mean + OVERDUE * self.dev) * self.stretch
         return self.sick or any(self.last_ok < at < overdue for at in self.out.values())
 
 
@@ -316,7 +317,7 @@
             if lane.sick and lane.blame < SICK:
                 lane.sick, lane.cold_since = False, now
             if lane.credit < 1:
-                lane.pace = min(lane.rate or 1e9, lane.pace + GROWTH * lane.base)
+                lane.pace = min(lane.rate or 1e9, lane.pace * (1 + GROWTH))
             return
         if wait > 0:
             lane.wait_until = max(lane.wait_until, now + wait + self.s.tick_ms)
@@ -341,7 +342,7 @@
     def _room(self, now: float, lane: Lane) -> bool:
         """Whether this lane may take one more call now: pace, trickle while suspect, cold budget after it."""
         safety, part = self.s.safety, lane.base / (ROUGH if self.s.rates is Rates.ROUGH else 1.0)
-        pace, burst = lane.pace, max(2.0, lane.pace * BURST_S)
+        pace, burst = lane.pace, max(BURST, lane.pace * BURST_S)
         cold = CAREFUL * safety.fall_multiple * safety.cold_share * part
         if not lane.answered:
             burst = 1.0  # a restarted relay knows nothing: the destination may be cold
