--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -11,7 +11,7 @@
 
 from .interface import (
     Action, AttemptEnded, Decay, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
-    MessageClass, Outcome, ProbeEnded, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired,
+    MessageClass, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired,
     WatchList, Withdrawn,
 )
 
@@ -42,6 +42,7 @@
 
     msg: Message
     cls: MessageClass
+    since: float  # when it was first handed in
     due: float
     worth: float
     ready: float
@@ -49,13 +50,12 @@
     out: Endpoint | None = None
     out_since: float = 0.0
     first_risk: float | None = None  # send of the first attempt that may have run
-    risk_zone: int = 0
-    risk_endpoint: int = 0
+    risk: Endpoint | None = None
 
     def worth_at(self, at: float, decay: Decay) -> float:
-        late = at - (self.due - self.cls.deadline_ms) - self.cls.aim_ms
-        if late <= 0:
-            return self.worth
+        late = at - self.since - self.cls.aim_ms
+        if late <= 0 or at >= self.due:
+            return self.worth if at < self.due else 0.0
         if decay is Decay.HALVES:
             return self.worth * max(self.cls.late_share, float(0.5 ** (late / self.cls.aim_ms)))
         return self.worth * (1 - (1 - self.cls.late_share) * late / (self.cls.deadline_ms - self.cls.aim_ms))
@@ -104,6 +104,9 @@
         return self.sick or any(self.last_ok < at < overdue for at in self.out.values())
 
 
+Choice = tuple[float, Held, Door]  # worth per slot time, message, endpoint
+
+
 class Relay:
     """Decides for one relay: feed it events with `handle`, carry out the actions that it returns."""
 
@@ -134,13 +137,11 @@
                 case Message():
                     self._accept(now_ms, event)
                 case AttemptEnded():
-                    self._ended(now_ms, event, acts)
+                    self._ended(now_ms, event)
                 case EndpointList():
                     self._listed(now_ms, event)
                 case Withdrawn():
                     self._forget(self.held.get(event.id))
-                case ProbeEnded():
-                    self._learn(now_ms, event.endpoint, event.outcome, event.latency_ms, 0.0, now_ms)
                 case TimerFired():
                     self.timer_at = 0.0
         if self.ask_at is not None and now_ms >= self.ask_at:
@@ -167,8 +168,7 @@
         if event.kind is not ListKind.CACHED:
             self.ask_fails, self.ask_at = 0, None
         if event.kind is not ListKind.CHANGES:
-            named = {e.id for e in event.entries}
-            self.drained.update(i for i in self.doors if i not in named)
+            self.drained.update(set(self.doors) - {entry.id for entry in event.entries})
         for entry in event.entries:
             if entry.listing is not Listing.READY:
                 self.drained.add(entry.id)
@@ -190,7 +190,10 @@
 
     def _accept(self, now: float, msg: Message) -> None:
         cls = self.s.classes[msg.class_]
-        held = Held(msg, cls, now + msg.left_ms, cls.worth, now)
+        # An unmarked first try is new however little time it has left: some clients are just in a hurry.
+        old = msg.again or msg.from_dead_relay or not self.s.marks_repeats
+        since = now + msg.left_ms - cls.deadline_ms if old else now
+        held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now)
         if msg.tenant < len(self.shares):
             quota, bucket = self.shares[msg.tenant]
             bucket[:] = min(2 * quota, bucket[0] + quota * (now - bucket[1]) / 1000), now
@@ -218,10 +221,11 @@
         turn = self.keys.get(held.msg.key) if held.cls.in_order else None
         if turn and (turn[0] != held.msg.id or now < self.key_rest.get(held.msg.key, 0.0)):
             return False
-        if held.first_risk is None or held.cls.effect is Effect.SAFE or held.cls.key_scope is Scope.ALL:
-            return not self._hopeless(now, held)
-        same_zone = held.cls.key_scope is Scope.ZONE and entry.zone == held.risk_zone
-        return (same_zone or entry.id == held.risk_endpoint) and not self._hopeless(now, held)
+        if held.risk is not None and held.cls.effect is Effect.KEYED and entry.id != held.risk.id:
+            same_zone = held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
+            if held.cls.key_scope is not Scope.ALL and not same_zone:
+                return False
+        return not self._hopeless(now, held)
 
     def _hopeless(self, now: float, held: Held) -> bool:
         """No further try is allowed: attempts are used up, or one may have run and must not be repeated."""
@@ -256,17 +260,30 @@
                 self._end(held, acts)
 
     def _make_room(self, acts: list[Action], now: float) -> None:
-        """Refuses the least worth before the hold fills: a full one turns newcomers away unseen."""
-        excess = len(self.held) - int(CROWDED * self.s.hold)
-        if excess > 0:
-            idle = [h for h in self.held.values() if self._may_refuse(h)]
-            idle.sort(key=lambda h: (h.worth_at(now + STEP_MS, self.s.decay), -h.due))
-            for held in idle[:excess]:
-                self._end(held, acts)
+        """Refuses what would wait longest before the hold fills: a full one turns newcomers away unseen.
+
+        The queue that needs longest gives up its least worth, so that a sick destination pays for itself.
+        """
+        for _ in range(len(self.held) - int(CROWDED * self.s.hold)):
+            queues: dict[int, list[Held]] = {}
+            for held in self.held.values():
+                if self._may_refuse(held):
+                    queues.setdefault(held.msg.destination, []).append(held)
+            if queues:
+                longest = max(queues, key=lambda dest: len(queues[dest]) / self._speed(now, dest))
+                self._end(min(queues[longest], key=lambda h: h.worth_at(now, self.s.decay)), acts)
+
+    def _lanes(self, dest: int) -> list[tuple[tuple[int, int], Lane]]:
+        return [(key, lane) for key, lane in self.lanes.items() if key[0] == dest]
+
+    def _speed(self, now: float, dest: int) -> float:
+        """Calls a second that this relay may expect to place at a destination."""
+        paces = [1000 / GAP_MAX_MS if lane.suspect(now) else lane.pace for _, lane in self._lanes(dest)]
+        return sum(paces) or 0.01
 
     # -- outcomes: health, latency, pace -----------------------------------------------------------------
 
-    def _ended(self, now: float, event: AttemptEnded, acts: list[Action]) -> None:
+    def _ended(self, now: float, event: AttemptEnded) -> None:
         held = self.held.get(event.id)
         if held is None or held.out is None:
             return
@@ -277,15 +294,15 @@
         door = lane.doors[entry.id]
         door.out = max(0, door.out - 1)
         if not event.outcome.proves_no_effect and held.first_risk is None:
-            held.first_risk = held.out_since
-            held.risk_zone, held.risk_endpoint = entry.zone, entry.id
+            held.first_risk, held.risk = held.out_since, entry
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and held.cls.in_order:
             self.key_rest[held.msg.key] = now + self.s.safety.key_rest_ms + self.s.tick_ms
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             door.warm.append(now)
         else:
             door.warm.clear()
-        self._learn(now, entry.id, event.outcome, event.latency_ms, event.wait_ms, held.out_since)
+        if event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
+            self._learn(now, door, event.outcome, event.latency_ms, event.wait_ms, held.out_since)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
             left, limit = (event.report[n] for n in self.s.limit_report)
             if limit > 0:
@@ -297,15 +314,8 @@
         # Both layers pause before the next try: growing and jittered; the gate adds told waits.
         pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
         held.ready = now + pause
-        if now >= held.due - STEP_MS or self._hopeless(now, held):
-            self._end(held, acts)
-
-    def _learn(
-        self, now: float, endpoint: int, outcome: Outcome, took: float, wait: float, sent: float
-    ) -> None:
-        door = self.doors.get(endpoint)
-        if door is None or outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
-            return
+
+    def _learn(self, now: float, door: Door, outcome: Outcome, took: float, wait: float, sent: float) -> None:
         lane = self.lanes[self._lane_key(door.entry)]
         if outcome is Outcome.OK:
             gain = 0.15 if lane.answered else 1.0
@@ -316,8 +326,7 @@
             lane.gap, lane.next_trickle = GAP_MS, now
             if lane.sick and lane.blame < SICK:
                 lane.sick, lane.cold_since = False, now
-            if lane.credit < 1:
-                lane.pace = min(lane.rate or 1e9, lane.pace * (1 + GROWTH))
+            lane.pace = min(lane.rate or 1e9, lane.pace * (1 + GROWTH)) if lane.credit < 1 else lane.pace
             return
         if wait > 0:
             lane.wait_until = max(lane.wait_until, now + wait + self.s.tick_ms)
@@ -339,8 +348,8 @@
 
     # -- choice ------------------------------------------------------------------------------------------
 
-    def _room(self, now: float, lane: Lane) -> bool:
-        """Whether this lane may take one more call now: pace, trickle while suspect, cold budget after it."""
+    def _room(self, now: float, lane: Lane) -> float:
+        """Calls this lane may take now: pace, trickle while suspect, cold budget after an outage."""
         safety, part = self.s.safety, lane.base / (ROUGH if self.s.rates is Rates.ROUGH else 1.0)
         pace, burst = lane.pace, max(BURST, lane.pace * BURST_S)
         cold = CAREFUL * safety.fall_multiple * safety.cold_share * part
@@ -348,14 +357,14 @@
             burst = 1.0  # a restarted relay knows nothing: the destination may be cold
         if lane.suspect(now):
             if now < lane.next_trickle:
-                return False
+                return 0.0
             pace, burst = max(cold, 1000 / GAP_MAX_MS), 1.0
         elif lane.cold_since is not None and now < lane.cold_since + safety.cold_ms:
             warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
             pace, burst = min(pace, cold * (1 + warmth / safety.cold_share)), 1.0
         lane.credit = min(burst, lane.credit + pace * (now - lane.credit_at) / 1000)
         lane.credit_at = now
-        return lane.credit >= 1
+        return lane.credit if burst > 1 or lane.credit >= 1 else -BURST
 
     def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
         best: tuple[float, float, int] | None = None
@@ -376,12 +385,8 @@
         by_lane: dict[tuple[int, int], list[Held]] = {}
         for held in self.held.values():
             if held.out is None and now >= held.ready:
-                if (held.msg.destination, -1) in self.lanes:
-                    by_lane.setdefault((held.msg.destination, -1), []).append(held)
-                else:
-                    for key in self.lanes:
-                        if key[0] == held.msg.destination:
-                            by_lane.setdefault(key, []).append(held)
+                for key, _ in self._lanes(held.msg.destination):
+                    by_lane.setdefault(key, []).append(held)
         while by_lane and self.busy < self.s.slots:
             best: tuple[float, Held, Door, tuple[int, int]] | None = None
             for key in list(by_lane):
@@ -396,15 +401,14 @@
             self._send(now, held, best[2], self.lanes[best[3]], acts)
             by_lane = {k: [h for h in line if h is not held] for k, line in by_lane.items()}
 
-    def _pick(
-        self, now: float, lane: Lane, line: list[Held], others: bool
-    ) -> tuple[float, Held, Door] | None:
+    def _pick(self, now: float, lane: Lane, line: list[Held], others: bool) -> Choice | None:
         """The message of this lane with most worth still to win per slot time, if it may send at all."""
         suspect = lane.suspect(now)
         cap = max(1, self.s.slots // (4 if suspect else 2))
-        if not line or len(lane.out) >= cap and (others or suspect) or not self._room(now, lane):
+        if not line or len(lane.out) >= cap and (others or suspect):
             return None
-        best: tuple[float, Held, Door] | None = None
+        room = self._room(now, lane)
+        best: Choice | None = None
         for held in line:
             risky = held.cls.effect is Effect.UNSAFE and not lane.ran_nothing
             if risky and (suspect or lane.blame > TRUSTED):
@@ -412,6 +416,8 @@
             soon = held.worth_at(now + lane.mean, self.s.decay)
             later = held.worth_at(now + lane.mean + 1000.0, self.s.decay)
             value = (2 * soon - later) / lane.mean
+            if room < (1 - BURST if held.due < held.since + held.cls.aim_ms else 1):
+                continue  # the pace is a guess: a client that won't wait for its aim may overdraw it
             if best is None or value > best[0]:
                 door = self._door(now, held, lane)
                 if door is not None:
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -159,6 +159,7 @@
     idle_ms: float = 0.0
     connect_timeout_ms: float = 0.0
     tick_ms: float = 1.0
+    marks_repeats: bool = False  # clients mark what they hand in again
     longest_advice_ms: float = 0.0  # longest stay-away a client heeds; 0 = no advice
     cross_zone_price: float = 0.0
     route_fees: tuple[float, ...] = ()  # by zone
--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -64,6 +64,7 @@
             streams_per_connection=limits.get("streams-per-conn", 1),
             idle_ms=limits.get("conn-idle-ms", 0.0),
             connect_timeout_ms=limits.get("connect-timeout-ms", 0.0), tick_ms=raw.get("tick-ms", 1.0),
+            marks_repeats=bool(raw.get("client-habits", {}).get("marks-retry", False)),
             longest_advice_ms=limits.get("max-retry-after-ms", 0.0) if limits.get("retry-after") else 0.0,
             cross_zone_price=prices.get("cross-zone", 0.0), route_fees=tuple(extra.get("carriage", [])),
             limit_report=(fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None,
