--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -339,8 +339,8 @@
             weight = BLAME
         if outcome is Outcome.TIMEOUT:
             lane.stretch = min(STRETCH_MAX, lane.stretch * 2)
-        # A whole call or told wait without a single answer says more than one failure among successes.
-        alone = outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED) and lane.last_ok < sent or wait > SHUT_MS
+        # No connection and no answer since, or a long told wait, says more than one failure among successes.
+        alone = outcome is Outcome.CONNECT_FAILED and lane.last_ok < sent or wait > SHUT_MS
         lane.blame += (1.0 - lane.blame) * (SICK + 0.05 if alone else weight)
         lane.ran_nothing = outcome.proves_no_effect
         if lane.blame > SICK:
