--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -20,6 +20,7 @@
 RETRY_MAX_MS = 4000.0  # no pause is longer: beyond it a message's aim is lost anyway
 GUESS_MS = 500.0  # latency assumed of a destination that has not answered yet
 DEVIATIONS = 10.0  # a time-out lies so many mean deviations above the mean: answers have a long tail
+LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
 OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
 BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, and at least so many
@@ -101,7 +102,7 @@
     def suspect(self, now: float) -> bool:
         """Out, or an answer is overdue and none came since that call: hung, stalled, gone or slow."""
         overdue = now - (self.mean + OVERDUE * self.dev) * self.stretch
-        return self.sick or any(self.last_ok < at < overdue for at in self.out.values())
+        return self.sick or any(self.last_ok <= at < overdue for at in self.out.values())
 
 
 Choice = tuple[float, Held, Door]  # worth per slot time, message, endpoint
@@ -340,7 +341,7 @@
         if outcome is Outcome.TIMEOUT:
             lane.stretch = min(STRETCH_MAX, lane.stretch * 2)
         # No connection and no answer since, or a long told wait, says more than one failure among successes.
-        alone = outcome is Outcome.CONNECT_FAILED and lane.last_ok < sent or wait > SHUT_MS
+        alone = outcome is Outcome.CONNECT_FAILED and lane.last_ok <= sent or wait > SHUT_MS
         lane.blame += (1.0 - lane.blame) * (SICK + 0.05 if alone else weight)
         lane.ran_nothing = outcome.proves_no_effect
         if lane.blame > SICK:
@@ -431,8 +432,8 @@
         if held.cls.effect is Effect.KEYED:
             risk = held.first_risk if held.first_risk is not None else now
             last = last or now + patience + RETRY_MS * 2**held.tries > risk + held.cls.key_window_ms
-        if not last and now + 2 * patience < held.due:
-            until = now + patience
+        if last or now + 2 * patience < held.due:
+            until = min(held.due, now + patience * (LAST if last else 1.0))
         if door.warm:
             door.warm.pop()
         held.out, held.out_since, held.tries = door.entry, now, held.tries + 1
