--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -230,10 +230,8 @@
 
     def _hopeless(self, now: float, held: Held) -> bool:
         """No further try is allowed: attempts are used up, or one may have run and must not be repeated."""
-        if held.tries >= self.s.attempts:
-            return True
-        if held.first_risk is None or held.cls.effect is Effect.SAFE:
-            return False
+        if held.tries >= self.s.attempts or held.first_risk is None or held.cls.effect is Effect.SAFE:
+            return held.tries >= self.s.attempts
         window = held.cls.key_window_ms - self.s.tick_ms
         return held.cls.effect is Effect.UNSAFE or now - held.first_risk >= window
 
@@ -256,9 +254,10 @@
 
     def _close_late(self, now: float, acts: list[Action]) -> None:
         """The deadline timer: ends what can no longer be delivered in time."""
-        for held in [h for h in self.held.values() if h.out is None]:
-            if now >= held.due - STEP_MS - 2 * self.s.tick_ms or self._hopeless(now, held):
-                self._end(held, acts)
+        close = now + STEP_MS + 2 * self.s.tick_ms
+        idle = [held for held in self.held.values() if held.out is None]
+        for held in [h for h in idle if h.due <= close or self._hopeless(now, h)]:
+            self._end(held, acts)
 
     def _make_room(self, acts: list[Action], now: float) -> None:
         """Refuses what would wait longest before the hold fills: a full one turns newcomers away unseen.
@@ -409,6 +408,8 @@
         if not line or len(lane.out) >= cap and (others or suspect):
             return None
         room = self._room(now, lane)
+        # Slot time for one delivery, failed calls counted: keeps scarce slots for destinations that answer.
+        cost = lane.mean + lane.blame * (lane.mean + DEVIATIONS * lane.dev) / (1 - lane.blame)
         best: Choice | None = None
         for held in line:
             risky = held.cls.effect is Effect.UNSAFE and not lane.ran_nothing
@@ -416,7 +417,7 @@
                 continue  # guards unsafe messages: an unclear outcome would be final
             soon = held.worth_at(now + lane.mean, self.s.decay)
             later = held.worth_at(now + lane.mean + 1000.0, self.s.decay)
-            value = (2 * soon - later) / lane.mean
+            value = (2 * soon - later) / cost
             if room < (1 - BURST if held.due < held.since + held.cls.aim_ms else 1):
                 continue  # the pace is a guess: a client that won't wait for its aim may overdraw it
             if best is None or value > best[0]:
@@ -426,8 +427,7 @@
         return best
 
     def _send(self, now: float, held: Held, door: Door, lane: Lane, acts: list[Action]) -> None:
-        patience = max(lane.patience(), 2 * lane.mean)
-        until = held.due
+        patience, until = lane.patience(), held.due
         last = held.tries + 1 >= self.s.attempts or held.cls.effect is Effect.UNSAFE
         if held.cls.effect is Effect.KEYED:
             risk = held.first_risk if held.first_risk is not None else now
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -75,6 +75,22 @@
     assert any(send.endpoint == 12 for at, send in d.sent[-20:])
 
 
+def test_scarce_slots_go_to_the_destination_that_answers() -> None:
+    d = Driver(make_settings(slots=4))
+    d.listed((11, 1), (12, 2), (13, 3), rate=200.0)
+    for dest in (1, 2, 3):
+        d.warm_up(dest)
+    ident = d.message(SAFE, 1)
+    d.pass_time(50)
+    d.answer(ident, api.Outcome.ERROR)  # one failed call at destination 1 is no outage
+    d.feed(api.Withdrawn(ident))
+    busy = [d.message(SAFE, 3) for _ in range(4)]
+    failing, well = d.message(SAFE, 1), d.message(SAFE, 2)
+    d.pass_time(50)
+    d.answer(busy[0])
+    assert d.tries.get(well) == 1 and failing not in d.tries
+
+
 def test_one_bad_endpoint_among_good_ones_is_left() -> None:
     d = Driver()
     d.listed((11, 1), (12, 1))
