--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -307,7 +307,7 @@
             left, limit = (event.report[n] for n in self.s.limit_report)
             if limit > 0:
                 lane.rate, lane.base = limit, limit / self.s.relays
-                lane.pace = min(limit, max(lane.pace, lane.base) * (1.05 if left > 0.5 else 1.0))
+                lane.pace = min(limit, max(lane.pace * (1 + GROWTH * (2 * left - 0.5)), lane.base / 3))
         if event.finished or held.due < 0:
             self._forget(held)
             return
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -145,3 +145,17 @@
             assert field in str(error)
         else:
             raise AssertionError(f"{field}={value} was taken")
+
+
+def test_load_reports_steer_the_pace_both_ways() -> None:
+    d = Driver(make_settings(limit_report=(0, 1)))
+    d.listed((11, 1), rate=20.0)
+    d.warm_up()
+    lane = d.relay.lanes[1, -1]
+    before = lane.pace
+    for left in (0.0, 1.0):
+        ident = d.message(SAFE)
+        d.pass_time(50)
+        d.feed(api.AttemptEnded(ident, 0, 11, api.Outcome.OK, 100.0, True, report=(left, 20.0)))
+        assert (lane.pace > before) == (left == 1.0)
+        before = lane.pace
