--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -33,7 +33,7 @@
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 SHUT_MS = 2500.0  # a told wait longer than any span of a limit means shut
 GAP_MS, GAP_MAX_MS = 300.0, 2500.0  # pauses between trickle calls to a suspect destination, growing
-CAREFUL = 0.75  # part of the own cold budget that is used: arrivals bunch up on the way
+CAREFUL = 1.0  # part of the own cold budget that is used: all of it, the rule leaves slack for chance
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 
 
