--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -134,7 +134,11 @@
             self.relays.pop(instance, None)
             events.pop(instance, None)
         elif code not in IGNORED:
-            events.setdefault(instance, []).append(self._event(code, data))
+            event = self._event(code, data)
+            relay = self.relays.get(instance)
+            if isinstance(event, api.Message) and relay and event.class_ >= len(relay.s.classes):
+                raise WireError(f"message {event.id} is of class {event.class_}, which the settings lack")
+            events.setdefault(instance, []).append(event)
 
     def _event(self, code: int, data: bytes) -> api.Event:
         if code == 110:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -157,6 +157,7 @@
         (frame(0.0, enlist({k: v for k, v in SETTINGS.items() if k != "limits"})), "limits"),
         (frame(0.0, enlist(), record(110, b"\3\0\0\0\1")), "malformed"),
         (frame(0.0, announce()), "list 0 was never sent"),
+        (frame(0.0, enlist(), request(1)[:13] + b"\x09" + request(1)[14:]), "class 9"),
         (frame(0.0, record(70, b"\3\0\0\0\1\0\0\0") + b"left"), "after its last record"),
     ],
 )
