Fail-back kept without listed rates: own answers times the relays stand in for the rate

Cause: Lane.total was START x relays where no rate is listed (_add), 153 calls a second with 306 relays against a few that a destination takes; the cold budget (_pace) and the number of knowers are parts of it. Taken for granted before: that a rate is listed. Ruled out: relays that do not know (the budget per relay was 0.22 a second, times 306), told waits (all kept), peers' notes (not used). Why it can't come again: the budget is now the cold share of what the relays together were seen to do; the estimates add up to the true rate however uneven relays are, and stay fixed from the first failure until the cold time is over.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -12,7 +12,7 @@
     Action, AttemptEnded, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message, Outcome,
     Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
 )
-from .state import NEVER, Board, Door, Held, Lane
+from .state import NEVER, Board, Door, Flow, Held, Lane
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
 LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
@@ -73,6 +73,7 @@
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
         self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
+        self.flow = Flow()  # answers of all destinations
         self.busy = 0
         self.timer_at = 0.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
@@ -140,7 +141,7 @@
         listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
             total = listed or START * self.s.relays
-            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now)
+            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, told=listed > 0)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
@@ -257,6 +258,8 @@
         door.out -= 1
         door.lane.out.pop(event.id, None)
         self.board.look(held.msg.destination)
+        if not door.lane.told and door.lane.bad_since is None:
+            self._gauge(now, door.lane)
         if not event.outcome.proves_no_effect and held.first_risk is None:
             held.first_risk, held.risk = held.out_since, door.entry
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and held.key:
@@ -279,6 +282,8 @@
 
     def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
         lane = door.lane
+        self.flow.add(now, FADE_MS)
+        lane.flow.add(now, FADE_MS)
         self.usual = averaged(*self.usual, took, 0.05)
         lane.answers += 1
         lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
@@ -289,7 +294,8 @@
             self._cold(now, lane)
         lane.bad_since = None
         if lane.credit < 1:
-            lane.pace = min(lane.total, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
+            top = lane.total if lane.told else float("inf")
+            lane.pace = min(top, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
 
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
@@ -303,7 +309,7 @@
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
             lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
         if event.outcome is Outcome.FULL:
-            part, cut = lane.total / self.s.relays, lane.pace * CUT
+            part, cut = lane.total / self.s.relays if lane.told else START, lane.pace * CUT
             paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
             lane.pace = max(part / 3, min(cut, (lane.pace * part) ** 0.5)) if paced else part
             lane.hold = min(HOLD_MAX_MS, max(HOLD_MS, 2 * lane.hold))
@@ -329,13 +335,23 @@
 
     def _reported(self, lane: Lane, left: float, limit: float) -> None:
         if limit > 0:
-            part, lane.pace, lane.total = limit / self.s.relays, lane.pace * limit / lane.total, limit
+            lane.told, part = True, limit / self.s.relays
+            lane.pace, lane.total = lane.pace * limit / lane.total, limit
             change = 1 + GROWTH * (4 * left - 2)
             if change < 1 or lane.credit < 1:
                 lane.pace = min(limit, max(lane.pace * change, part / 3))
 
     # -- pace, health and return -------------------------------------------------------------------------
 
+    def _gauge(self, now: float, lane: Lane) -> None:
+        """Stands in for a rate that nobody tells: own answers of late (as prior those of a usual destination)
+        times the relays. Over all relays that adds up to what it was seen to do, however uneven they are.
+        Guards the cold budget; it stays as it was while the destination is out or cold."""
+        if now >= lane.cold_since + self.s.safety.cold_ms:
+            usual = max(1.0, self.flow.count(now, FADE_MS)) / len(self.lanes)
+            seen = (lane.flow.count(now, FADE_MS) + 1) / (1 + 1 / usual)
+            lane.total = self.s.relays * seen * 1000 / FADE_MS
+
     def _knowers(self, now: float, lane: Lane) -> float:
         """How many relays may have met the outage: no more than there are, nor than calls it failed."""
         since = now if lane.bad_since is None else lane.bad_since
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from .interface import Decay, Endpoint, Message, MessageClass
@@ -40,6 +41,20 @@
         return self.worth * (1 - (1 - self.cls.late_share) * late / (self.cls.deadline_ms - self.cls.aim_ms))
 
 
+@dataclass(slots=True)
+class Flow:
+    """A count of events in which older ones weigh less and less."""
+
+    events: float = 0.0
+    at: float = 0.0
+
+    def count(self, now: float, fade_ms: float) -> float:
+        return self.events * math.exp((self.at - now) / fade_ms)
+
+    def add(self, now: float, fade_ms: float) -> None:
+        self.events, self.at = self.count(now, fade_ms) + 1, now
+
+
 @dataclass(slots=True)
 class Door:
     """One endpoint as this relay sees it."""
@@ -63,6 +78,8 @@
     credit_at: float
     doors: dict[int, Door] = field(default_factory=dict)
     out: dict[int, Held] = field(default_factory=dict)
+    told: bool = True  # the total comes from the list or a report, not from a guess
+    flow: Flow = field(default_factory=Flow)  # answers
     answers: int = 0
     last_ok: float = NEVER
     stretch: float = 1.0  # of the time-out
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -334,3 +334,25 @@
         d.pass_time(200, 50)
         at_once += len(d.sent) - start
     assert at_once <= 20
+
+
+def test_without_listed_rates_a_destination_that_is_out_gets_no_more_than_its_own_pace_allows() -> None:
+    """Guards fail-back where no rate is listed: many relays know of the outage, and messages wait."""
+    relays, sends = 60, 0
+    for seed in range(relays):
+        d = Driver(make_settings(relays=relays, rates=api.Rates.NONE), seed=seed)
+        d.listed((11, 1), *((20 + n, 2 + n) for n in range(9)), rate=1.0)
+        for turn in range(20):
+            ident = d.message(dest=1 if turn % 10 == 0 else 2 + turn % 9)  # each gets a call in 12 s
+            d.pass_time(100, 50)
+            d.answer(ident)
+            d.pass_time(1100, 100)
+        for _ in range(8):
+            d.message()
+        start = d.now
+        while d.now < start + 12000:
+            for ident in list(d.out):
+                d.answer(ident, api.Outcome.CONNECT_FAILED)
+            d.pass_time(50, 50)
+        sends += len([at for at, _ in d.sent if at > start + 2000])
+    assert sends <= 10 * 2.0 * 0.2 * relays / 12 * 2.0  # 10 s of the budget, as much for chance
