Final answers at once; refusals tell when to come back

Cause: the gate stopped trying lane.mean / 4 before the deadline (_may_send) and a told wait, a pause or a key window could outlast a message, yet the answer went out only with the deadline timer (_close_late at due - MARGIN). Now Held.last is the last moment at which a try may start; gate and answer use the same figure, and when no try can start (attempts, effect, key window and scope, told wait, key rest, time left) the answer goes out in the same reply, also for those that wait behind a told wait. Held on purpose: for a turn, a pace, a return, an endpoint to be listed. Where programs heed advice, Refuse carries the told wait or what the queue needs, jittered, within what they heed and the time left. Could hurt: programs that heed long advice while room comes earlier.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -176,10 +176,29 @@
 
     def _wait(self, held: Held) -> None:
         """Puts a message into its queue, until a send or its last moment, whichever comes first."""
-        close = min(self._until(held), held.due - MARGIN_MS - 2 * self.s.tick_ms)
-        heapq.heappush(self.ends, (close, held.msg.id))
+        held.last = self._last(held)
+        heapq.heappush(self.ends, (held.last, held.msg.id))
         self.board.queue(held)
 
+    def _last(self, held: Held) -> float:
+        """The last moment at which a try may start; NEVER once none can be made: the final answer goes out at
+        once. Until then it is held on purpose, for its turn, pace, a return or an endpoint to be listed."""
+        lanes = [lane for lane in self.lanes.get(held.msg.destination, {}).values() if lane.doors]
+        usable = [lane for lane in lanes if any(self._fits(held, d.entry) for d in lane.doors.values())]
+        last = min(self._until(held), held.due - MARGIN_MS - 2 * self.s.tick_ms)
+        if usable:
+            last = min(last, held.due - min(lane.mean for lane in usable) / 4)
+            waits = min(lane.wait_until for lane in usable)
+            return last if max(held.ready, waits, self.key_rest.get(held.key, 0.0)) < last else NEVER
+        gone = held.risk is not None and held.cls.key_scope is Scope.ENDPOINT and bool(lanes)
+        return NEVER if gone and held.cls.effect is Effect.KEYED else last
+
+    def _fits(self, held: Held, entry: Endpoint) -> bool:
+        """Whether an endpoint shares the memory of the key with the one where the message may have run."""
+        if held.risk is None or held.cls.effect is not Effect.KEYED or held.cls.key_scope is Scope.ALL:
+            return True
+        return entry.id == held.risk.id or held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
+
     def _may_refuse(self, held: Held) -> bool:
         """A refusal promises that coming again is harmless: after an unclear attempt, only by effect."""
         if held.first_risk is None or held.cls.effect is Effect.SAFE:
@@ -195,13 +214,9 @@
     def _may_send(self, now: float, held: Held, door: Door) -> bool:
         """The one gate of every send: attempts, drain, told wait, time, order, effect and key window."""
         lane, entry = door.lane, door.entry
-        if held.out is not None or entry.id not in self.doors or now >= self._until(held):
-            return False
-        if now < max(lane.wait_until, held.ready, self._turn(held)) or now + lane.mean / 4 >= held.due:
+        if held.out is not None or entry.id not in self.doors or now >= min(held.last, self._until(held)):
             return False
-        if held.risk is None or held.cls.effect is not Effect.KEYED or held.cls.key_scope is Scope.ALL:
-            return True
-        return entry.id == held.risk.id or held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
+        return now >= max(lane.wait_until, held.ready, self._turn(held)) and self._fits(held, entry)
 
     def _until(self, held: Held) -> float:
         """Until when another try is allowed: not past the attempts, nor where it could take effect twice."""
@@ -211,10 +226,23 @@
             return held.due
         return held.first_risk + held.cls.key_window_ms - self.s.tick_ms
 
-    def _end(self, held: Held, acts: list[Action]) -> None:
-        acts.append(Refuse(held.msg.id) if self._may_refuse(held) else Fail(held.msg.id))
+    def _end(self, now: float, held: Held, acts: list[Action]) -> None:
+        if self._may_refuse(held):
+            acts.append(Refuse(held.msg.id, self._stay_away(now, held.msg.destination, held.due)))
+        else:
+            acts.append(Fail(held.msg.id))
         self.board.remove(held)
 
+    def _stay_away(self, now: float, dest: int, due: float) -> float:
+        """When there may be room: after the told wait and what else waits here, jittered so that programs do
+        not come in step; no longer than they heed it, nor than the message has left."""
+        if self.s.longest_advice_ms == 0:
+            return 0.0
+        told = min((lane.wait_until for lane in self.lanes.get(dest, {}).values()), default=NEVER)
+        queued = 1000 * len(self.board.queues.get(dest, ())) / self._speed(now, dest)
+        stay = max(told - now, queued) * self.rng.uniform(1.0, 1.5)
+        return max(0.0, min(stay, self.s.longest_advice_ms, due - now - MARGIN_MS))
+
     def _withdraw(self, ident: int) -> None:
         if held := self.board.held.get(ident):
             held.withdrawn = True  # one that is out waits for its outcome
@@ -226,7 +254,7 @@
         while self.ends and self.ends[0][0] <= now:
             held = self.board.held.get(heapq.heappop(self.ends)[1])
             if held and held.out is None:
-                self._end(held, acts)
+                self._end(now, held, acts)
 
     def _make_room(self, acts: list[Action], now: float) -> None:
         """Before the hold fills (a full one turns newcomers away), refuses what will be worth least when
@@ -240,7 +268,7 @@
                     if self._may_refuse(held) and (least is None or worth[:2] < least[:2]):
                         least = worth
             if least is not None:
-                self._end(least[2], acts)
+                self._end(now, least[2], acts)
 
     def _speed(self, now: float, dest: int) -> float:
         """Calls a second that this relay may expect to place at a destination."""
@@ -308,6 +336,9 @@
         lane.ran_nothing = event.outcome.proves_no_effect
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
             lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
+            for other in self.board.queues.get(held.msg.destination, {}).values():
+                if self._last(other) == NEVER:  # the wait outlasts it
+                    heapq.heappush(self.ends, (now, other.msg.id))
         if event.outcome is Outcome.FULL:
             part, cut = lane.total / self.s.relays if lane.told else START, lane.pace * CUT
             paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -20,6 +20,7 @@
     due: float
     worth: float
     ready: float  # no try before
+    last: float = NEVER  # no try from here on
     tries: int = 0
     out: Door | None = None
     out_since: float = 0.0
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -356,3 +356,71 @@
             d.pass_time(50, 50)
         sends += len([at for at, _ in d.sent if at > start + 2000])
     assert sends <= 10 * 2.0 * 0.2 * relays / 12 * 2.0  # 10 s of the budget, as much for chance
+
+
+def ended_with(acts: list[api.Action], ident: int) -> type | None:
+    return next((type(a) for a in acts if isinstance(a, api.Refuse | api.Fail) and a.id == ident), None)
+
+
+def test_a_told_wait_that_outlasts_a_message_ends_it_and_those_behind_it_at_once() -> None:
+    d = Driver()
+    d.listed((11, 1), rate=0.5)
+    first, waiting, longer = d.message(left=3000.0), d.message(left=3000.0), d.message(left=9000.0)
+    ident = next(iter(d.out))
+    others = {first, waiting, longer} - set(d.out)
+    acts = d.answer(ident, api.Outcome.FULL, wait=5000.0)
+    assert ended_with(acts, ident) is api.Refuse
+    for other in others - {longer}:
+        assert ended_with(acts, other) is api.Refuse
+    assert longer not in d.ended
+
+
+def test_the_last_attempt_gets_its_final_answer_with_its_outcome() -> None:
+    d = Driver(make_settings(attempts=1))
+    d.listed((11, 1), (12, 2))
+    ident = d.message(KEYED)
+    assert ended_with(d.answer(ident, api.Outcome.FULL), ident) is api.Refuse
+    ident = d.message(UNSAFE, 2)
+    assert ended_with(d.answer(ident, api.Outcome.RESET), ident) is api.Fail
+
+
+def test_a_key_window_too_short_for_another_try_ends_the_message_at_once() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    ident = d.message(KEYED)
+    d.pass_time(2980)  # the window is 3 s
+    acts = d.answer(ident, api.Outcome.RESET)
+    assert ended_with(acts, ident) is api.Refuse
+
+
+def test_a_key_that_only_its_endpoint_knows_ends_with_that_endpoint() -> None:
+    keyed = api.MessageClass("k", api.Effect.KEYED, 1000.0, 10000.0, 1.0, 0.5, 6000.0, api.Scope.ENDPOINT)
+    d = Driver(make_settings(classes=(keyed,)))
+    d.listed((11, 1), (12, 1))
+    ident = d.message(0)
+    d.feed(api.EndpointList(api.ListKind.CHANGES, (
+        api.Endpoint(d.out[ident].endpoint, 1, api.Listing.GONE),)))
+    assert ended_with(d.answer(ident, api.Outcome.RESET), ident) is api.Fail
+
+
+def test_a_message_with_too_little_time_for_an_answer_is_refused_as_it_comes() -> None:
+    d = Driver()
+    d.listed((11, 1))
+    for _ in range(12):
+        ident = d.message()
+        d.pass_time(400)
+        d.answer(ident, took=400.0)
+    start = len(d.sent)
+    ident = d.message(left=80.0)
+    assert isinstance(d.ended[ident], api.Refuse) and len(d.sent) == start
+
+
+def test_a_refusal_tells_when_to_come_back_within_what_programs_heed() -> None:
+    for longest, wait in ((0.0, 5000.0), (2000.0, 5000.0), (8000.0, 3000.0)):
+        d = Driver(make_settings(longest_advice_ms=longest))
+        d.listed((11, 1))
+        ident = d.message(left=2500.0)
+        d.answer(ident, api.Outcome.FULL, wait=wait)
+        end = d.ended[ident]
+        assert isinstance(end, api.Refuse)
+        assert end.stay_away_ms == 0.0 if longest == 0 else 1000.0 < end.stay_away_ms <= min(longest, 2500.0)
