--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -9,8 +9,8 @@
 import random
 
 from .interface import (
-    Action, AttemptEnded, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message, Outcome,
-    Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
+    Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
 )
 from .state import NEVER, Board, Door, Flow, Held, Lane
 
@@ -34,6 +34,8 @@
 SICK = 0.5  # blame above which a destination is taken as out
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
+SEEN = 0.05  # weight of one call in what is known of a kind of destination: some twenty calls
+SCARCE = 0.02  # part of calls that get no connection above which idle ones are closed: half a call in SEEN
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 
@@ -74,6 +76,7 @@
         self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.flow = Flow()  # answers of all destinations
+        self.blocked: dict[int, float] = {}  # kind of destination -> part of late calls without a connection
         self.busy = 0
         self.timer_at = 0.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
@@ -86,7 +89,7 @@
                 case Message():
                     self._accept(now_ms, event)
                 case AttemptEnded():
-                    self._ended(now_ms, event)
+                    self._ended(now_ms, event, acts)
                 case EndpointList():
                     self._listed(now_ms, event)
                 case Withdrawn():
@@ -277,7 +280,7 @@
 
     # -- outcomes ----------------------------------------------------------------------------------------
 
-    def _ended(self, now: float, event: AttemptEnded) -> None:
+    def _ended(self, now: float, event: AttemptEnded, acts: list[Action]) -> None:
         held = self.board.held.get(event.id)
         if held is None or held.out is None:
             return
@@ -301,6 +304,7 @@
             self._answered(now, door, held, event.latency_ms)
         elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
+        self._connections(door, event, acts)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
             self._reported(door.lane, *(event.report[n] for n in self.s.limit_report))
         if event.finished or held.withdrawn:
@@ -308,6 +312,17 @@
         else:
             self._wait(held)
 
+    def _connections(self, door: Door, event: AttemptEnded, acts: list[Action]) -> None:
+        """Guards endpoints that take few connections: idle ones of many relays use them up. Where calls of a
+        kind go without, idle ones are closed, unless more calls wait for them here."""
+        if event.outcome is Outcome.NOT_SENT:
+            return
+        kind, missed = door.entry.kind, float(event.outcome is Outcome.CONNECT_FAILED)
+        self.blocked[kind] = part = averaged(self.blocked.get(kind, 0.0), 0.0, missed, SEEN)[0]
+        if part > SCARCE and door.warm and door.entry.destination not in self.board.queues:
+            door.warm = []
+            acts.append(CloseIdle(door.entry.id))
+
     def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
         lane = door.lane
         self.flow.add(now, FADE_MS)
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -278,6 +278,13 @@
     endpoint: int
 
 
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close the idle connections to an endpoint."""
+
+    endpoint: int
+
+
 @dataclass(frozen=True, slots=True)
 class WatchList:
     """Ask discovery for the list and its changes from now on."""
@@ -288,4 +295,4 @@
     text: str
 
 
-Action = Union[Send, Refuse, Fail, Cancel, SetTimer, Probe, WatchList, Log]
+Action = Union[Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, WatchList, Log]
--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -200,6 +200,8 @@
             code, body = 50, struct.pack("<IdQ", instance, delay, token)
         case api.Probe(endpoint):
             code, body = 60, struct.pack("<II", instance, endpoint)
+        case api.CloseIdle(endpoint):
+            code, body = 70, struct.pack("<II", instance, endpoint)
         case api.WatchList():
             code, body = 110, struct.pack("<IB", instance, 1)
         case api.Log(text):
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -424,3 +424,17 @@
         end = d.ended[ident]
         assert isinstance(end, api.Refuse)
         assert end.stay_away_ms == 0.0 if longest == 0 else 1000.0 < end.stay_away_ms <= min(longest, 2500.0)
+
+
+def test_idle_connections_are_closed_where_calls_of_that_kind_get_none() -> None:
+    """Guards endpoints that take few connections, against the idle ones of many relays."""
+    for failing, closes in ((False, False), (True, True)):
+        d = Driver(make_settings(relays=100))
+        d.listed((11, 1), (12, 2), (13, 3))
+        for turn in range(6):
+            ident = d.message(dest=1 + turn % 3)
+            d.pass_time(50)
+            d.answer(ident, api.Outcome.CONNECT_FAILED if failing and turn == 2 else api.Outcome.OK)
+            d.pass_time(4000, 500)
+        closed = [act.endpoint for _, act in d.other if isinstance(act, api.CloseIdle)]
+        assert bool(closed) == closes and set(closed) <= {11, 12, 13}
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -93,6 +93,7 @@
         (api.Cancel(0x5D3A91C4, 0), "280a00000003000000c4913a5d0000"),
         (api.SetTimer(500.0, 77), "3214000000030000000000000000407f404d00000000000000"),
         (api.Probe(0x2C9011F2), "3c0800000003000000f211902c"),
+        (api.CloseIdle(0x2C9011F2), "460800000003000000f211902c"),
         (api.WatchList(), "6e050000000300000001"),
     ],
 )
