--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -1,7 +1,6 @@
 """Every decision of a relay. Vocabulary: linnetstile/interface.py; memory: linnetstile/state.py.
 
-Messages for one destination wait in a queue; what was seen of it is in its `Lane` (of each route, if apart).
-"""
+Messages for a destination wait in its queue; what was seen of it is in its `Lane` (one a route, if apart)."""
 
 from __future__ import annotations
 
@@ -12,7 +11,7 @@
     Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
     Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
 )
-from .state import NEVER, Board, Door, Flow, Held, Lane
+from .state import NEVER, Board, Call, Door, Flow, Held, Lane
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
 LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
@@ -44,24 +43,15 @@
     return mean + gain * (took - mean), dev + gain * (abs(took - mean) - dev)
 
 
-def doubt(door: Door, now: float, class_: int) -> float:
-    """Guards against an endpoint that fails, or fails one class: others go first until that fades."""
-    recent = [c for c, at in door.faults.items() if now - at < FADE_MS]
-    return 8.0 * (class_ in recent) + 2.0 * len(recent)
-
-
 def suspect(lane: Lane, now: float) -> bool:
     """Out, or each endpoint owes an answer that is overdue, and none came since: hung, gone or slow."""
     if lane.sick or not lane.out:
         return lane.sick
     overdue = now - (lane.mean + OVERDUE * lane.dev) * lane.stretch
-    late = [held.out for held in lane.out.values() if held.out and lane.last_ok <= held.out_since < overdue]
+    late = [call.door for call in lane.out.values() if lane.last_ok <= call.since < overdue]
     return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
 
 
-Choice = tuple[float, Held, Door]  # worth per slot time, message, endpoint
-
-
 class Relay:
     """Decides for one relay: feed it events with `handle`, carry out the actions that it returns."""
 
@@ -144,7 +134,8 @@
         listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
             total = listed or START * self.s.relays
-            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, told=listed > 0)
+            room = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
+            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, room, told=listed > 0)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
@@ -263,15 +254,12 @@
         """Before the hold fills (a full one turns newcomers away), refuses what will be worth least when
         its queue has drained, so that a destination that is out or slow pays for itself."""
         for _ in range(len(self.board.held) - int(CROWDED * self.s.hold)):
-            least: tuple[float, float, Held] | None = None
-            for dest, queue in self.board.queues.items():
-                drained = now + 1000 * len(queue) / self._speed(now, dest)
-                for held in queue.values():
-                    worth = held.worth_at(drained, self.s.decay), held.worth_at(now, self.s.decay), held
-                    if self._may_refuse(held) and (least is None or worth[:2] < least[:2]):
-                        least = worth
-            if least is not None:
-                self._end(now, least[2], acts)
+            queues = self.board.queues
+            drained = {dest: now + 1000 * len(queues[dest]) / self._speed(now, dest) for dest in queues}
+            able = [held for queue in queues.values() for held in queue.values() if self._may_refuse(held)]
+            if able:
+                self._end(now, min(able, key=lambda held: [
+                    held.worth_at(at, self.s.decay) for at in (drained[held.msg.destination], now)]), acts)
 
     def _speed(self, now: float, dest: int) -> float:
         """Calls a second that this relay may expect to place at a destination."""
@@ -284,12 +272,14 @@
         held = self.board.held.get(event.id)
         if held is None or held.out is None:
             return
-        door, held.out = held.out, None
-        self.busy -= 1
-        door.out -= 1
-        door.lane.out.pop(event.id, None)
+        call, door, held.out = held.out, held.out.door, None
+        counts, call.judged, call.open = not call.judged, True, call.open - 1  # several share one fate
+        if call.open == 0:
+            self.busy -= 1
+            door.out -= 1
+            del door.lane.out[call.lead]
         self.board.look(held.msg.destination)
-        if not door.lane.told and door.lane.bad_since is None:
+        if counts and not door.lane.told and door.lane.bad_since is None:
             self._gauge(now, door.lane)
         if not event.outcome.proves_no_effect and held.first_risk is None:
             held.first_risk, held.risk = held.out_since, door.entry
@@ -300,9 +290,9 @@
         # Both layers pause before the next try: growing and jittered after any told wait.
         pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
         held.ready = now + pause
-        if event.outcome is Outcome.OK:
+        if counts and event.outcome is Outcome.OK:
             self._answered(now, door, held, event.latency_ms)
-        elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
+        elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
         self._connections(door, event, acts)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
@@ -433,21 +423,22 @@
     # -- slots and choice --------------------------------------------------------------------------------
 
     def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
-        """The endpoint to use: not doubted, little busy, with a warm connection, cheap."""
+        """The endpoint to use: none of late failures (of this class above all), little busy, warm, cheap."""
         def rank(door: Door) -> tuple[float, float, int]:
             zone = door.entry.zone
             fee = self.s.route_fees[zone] if zone < len(self.s.route_fees) else 0.0
             fee += self.s.cross_zone_price * (zone != self.s.zone)
             door.warm = [at for at in door.warm if now - at < self.s.idle_ms * 0.9]
-            load = door.out + doubt(door, now, held.msg.class_) + 0.9 * (not door.warm) + 1.5 * (fee > 0)
-            return load, fee, door.entry.id
+            recent = [class_ for class_, at in door.faults.items() if now - at < FADE_MS]
+            load = door.out + 8.0 * (held.msg.class_ in recent) + 2.0 * len(recent)
+            return load + 0.9 * (not door.warm) + 1.5 * (fee > 0), fee, door.entry.id
 
         able = [door for door in lane.doors.values() if self._may_send(now, held, door)]
         return min(able, key=rank) if able else None
 
     def _dispatch(self, now: float, acts: list[Action]) -> None:
         """Sends what has most worth per slot time while there are slots; reads only queues that are due."""
-        picks: dict[int, Choice] = {}
+        picks: dict[int, tuple[float, Held, Door]] = {}
         due = [dest for dest, at in self.board.look_at.items() if at <= now]
         while self.busy < self.s.slots:
             found = {dest: self._pick(now, dest) for dest in due if dest in self.board.queues}
@@ -459,9 +450,9 @@
             self._send(now, held, door, acts)
             due = [dest]
 
-    def _pick(self, now: float, dest: int) -> Choice | None:
+    def _pick(self, now: float, dest: int) -> tuple[float, Held, Door] | None:
         """The message of this queue with most worth still to win per slot time, if any may be sent at all."""
-        best: Choice | None = None
+        best: tuple[float, Held, Door] | None = None
         look = now + LOOK_MS
         for lane in self.lanes.get(dest, {}).values():
             out = suspect(lane, now)
@@ -471,6 +462,7 @@
             room_at, overdraw_at = self._room_at(now, lane, out)
             # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
             cost = lane.mean + lane.blame * (lane.mean + DEVIATIONS * lane.dev) / (1 - lane.blame)
+            cost /= 1 if out else min(lane.room, len(self.board.queues[dest]))  # those that ride along
             barred = (out or lane.blame > TRUSTED) and not lane.ran_nothing
             for held in self.board.queues[dest].values():
                 # The pace is a guess: overdrawn for a client that won't wait, or a message its key waits for.
@@ -501,12 +493,19 @@
             until = min(held.due, now + patience * (LAST if last else 1.0))
         if door.warm:
             door.warm.pop()
+        riders = [held]
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
             lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.uniform(0.7, 1.3)
-        self.board.unqueue(held)
-        held.out, held.out_since, held.tries = door, now, held.tries + 1
+        elif lane.room > 1:  # one call, slot and place in the limit for a clump or backlog
+            trusted = lane.blame <= TRUSTED or lane.ran_nothing
+            queue = self.board.queues[held.msg.destination].values()
+            riders += [other for other in queue if other is not held and self._may_send(now, other, door)
+                       and (trusted or other.cls.effect is not Effect.UNSAFE)][: lane.room - 1]
+        call = lane.out[held.msg.id] = Call(held.msg.id, door, now, len(riders))
         door.out += 1
-        lane.out[held.msg.id] = held
         lane.credit -= 1
         self.busy += 1
-        acts.append(Send(held.msg.id, door.entry.id, until))
+        for rider in riders:
+            self.board.unqueue(rider)
+            rider.out, rider.out_since, rider.tries = call, now, rider.tries + 1
+            acts.append(Send(rider.msg.id, door.entry.id, min(until, rider.due)))
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -22,7 +22,7 @@
     ready: float  # no try before
     last: float = NEVER  # no try from here on
     tries: int = 0
-    out: Door | None = None
+    out: Call | None = None
     out_since: float = 0.0
     first_risk: float | None = None  # send of the first attempt that may have run
     risk: Endpoint | None = None
@@ -67,6 +67,17 @@
     warm: list[float] = field(default_factory=list)  # when each idle connection was last used
 
 
+@dataclass(slots=True)
+class Call:
+    """One call that is out, with one message or several."""
+
+    lead: int  # id of the message that it is remembered by
+    door: Door
+    since: float
+    open: int  # messages without an outcome
+    judged: bool = False  # an outcome of it was counted
+
+
 @dataclass(slots=True)
 class Lane:
     """One destination (or route apart): pace, health, latency."""
@@ -77,8 +88,9 @@
     pace: float
     credit: float
     credit_at: float
+    room: int = 1  # messages that one call takes
     doors: dict[int, Door] = field(default_factory=dict)
-    out: dict[int, Held] = field(default_factory=dict)
+    out: dict[int, Call] = field(default_factory=dict)
     told: bool = True  # the total comes from the list or a report, not from a guess
     flow: Flow = field(default_factory=Flow)  # answers
     answers: int = 0
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -438,3 +438,57 @@
             d.pass_time(4000, 500)
         closed = [act.endpoint for _, act in d.other if isinstance(act, api.CloseIdle)]
         assert bool(closed) == closes and set(closed) <= {11, 12, 13}
+
+
+def batching(**more: object) -> Driver:
+    d = Driver(make_settings(kinds=(api.DestinationKind("k", batch=4),), relays=100, **more))
+    d.listed((11, 1), (12, 2), rate=10.0)
+    return d
+
+
+def test_what_waits_for_one_endpoint_goes_in_one_call_and_slot() -> None:
+    d = batching(slots=2)
+    blocked = [d.message(dest=2), d.message(dest=2)]
+    waiting = [d.message() for _ in range(6)]
+    assert not set(waiting) & set(d.tries)  # both slots are taken
+    d.answer(blocked[0])
+    together = set(waiting) & set(d.out)
+    assert len(together) == 4
+    late = d.message(dest=2)
+    first, *rest = sorted(together)
+    d.answer(first)
+    assert late not in d.tries and not {w for w in waiting if w not in together} & set(d.tries)
+    for ident in rest:
+        d.answer(ident)
+    assert len(set(waiting) & set(d.tries)) == 6  # the slot is free once the last of them has its outcome
+
+
+def test_several_messages_in_one_failed_call_are_one_failure() -> None:
+    d = batching(slots=1)
+    for _ in range(3):
+        ident = d.message()
+        d.pass_time(100)
+        d.answer(ident)
+        d.pass_time(3000, 500)
+    blocked = d.message(dest=2)
+    waiting = [d.message() for _ in range(4)]
+    d.answer(blocked)
+    assert set(waiting) <= set(d.out)
+    for ident in waiting:
+        d.answer(ident, api.Outcome.RESET)
+    later = d.message()
+    d.pass_time(300)
+    assert later in d.tries  # four failures would be an outage, and calls rare
+
+
+def test_unsafe_messages_do_not_ride_along_to_a_destination_that_fails() -> None:
+    d = batching(slots=1)
+    ident = d.message()
+    d.answer(ident, api.Outcome.ERROR)
+    d.feed(api.Withdrawn(ident))
+    blocked = d.message(dest=2)
+    unsafe = d.message(UNSAFE)
+    d.message()
+    d.answer(blocked)
+    d.pass_time(200)
+    assert unsafe not in d.tries
