--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -462,7 +462,6 @@
             room_at, overdraw_at = self._room_at(now, lane, out)
             # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
             cost = lane.mean + lane.blame * (lane.mean + DEVIATIONS * lane.dev) / (1 - lane.blame)
-            cost /= 1 if out else min(lane.room, len(self.board.queues[dest]))  # those that ride along
             barred = (out or lane.blame > TRUSTED) and not lane.ran_nothing
             for held in self.board.queues[dest].values():
                 # The pace is a guess: overdrawn for a client that won't wait, or a message its key waits for.
