--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -16,8 +16,7 @@
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
 LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
 FADE_MS = 10000.0  # older evidence counts no more: an answer or a failure of so long ago
-HOLD_MS, HOLD_MAX_MS = 4000.0, 16000.0  # a refusal paces for so long at first, and at most
-SHORTER, LONGER = 0.85, 1.6  # its change with the next call there: level where three in four find room
+HOLD_MS, HOLD_MAX_MS = 4000.0, 16000.0  # a refusal paces for so long: a clump's time; doubles while refused
 RETRY_MS = 120.0  # first pause before another try: about one round trip; doubles from try to try
 RETRY_MAX_MS = 4000.0  # no pause is longer: beyond it a message's aim is lost anyway
 USUAL_MS = 500.0, 250.0  # latency and its mean deviation, until destinations have answered
@@ -67,7 +66,6 @@
         self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.flow = Flow()  # answers of all destinations
-        self.holds: dict[int, float] = {}  # kind of destination -> how long a refusal paces
         self.blocked: dict[int, float] = {}  # kind of destination -> part of late calls without a connection
         self.busy = 0
         self.timer_at = 0.0
@@ -323,7 +321,6 @@
         lane.answers += 1
         lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
         lane.last_ok, lane.stretch, lane.hold = now, 1.0, lane.hold / 2
-        self._learn_hold(door, held, SHORTER)
         lane.blame *= 1 - BLAME
         door.faults.pop(held.msg.class_, None)
         if lane.sick and lane.blame < SICK:
@@ -333,14 +330,6 @@
             top = lane.total if lane.told else float("inf")
             lane.pace = min(top, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
 
-    def _learn_hold(self, door: Door, held: Held, change: float) -> None:
-        """What the first call after a refusal meets tells, over the destinations of a kind, whether pauses are
-        long enough: where refused calls use up the limit they must be longer than where they do not."""
-        if door.lane.refused_at > NEVER and held.out_since > door.lane.refused_at:
-            hold = self.holds.get(door.entry.kind, HOLD_MS) * change
-            self.holds[door.entry.kind] = max(RETRY_MS, min(HOLD_MAX_MS, hold))
-            door.lane.refused_at = NEVER
-
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
         lane.knowers = self._knowers(now, lane)
@@ -359,9 +348,8 @@
             part, cut = lane.total / self.s.relays if lane.told else START, lane.pace * CUT
             paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
             lane.pace = max(part / 3, min(cut, (lane.pace * part) ** 0.5)) if paced else part
-            self._learn_hold(door, held, LONGER)
-            lane.hold = min(HOLD_MAX_MS, max(self.holds.get(door.entry.kind, HOLD_MS), 2 * lane.hold))
-            lane.free_at, lane.refused_at = now + lane.hold * self.rng.uniform(0.5, 1.5), now
+            lane.hold = min(HOLD_MAX_MS, max(HOLD_MS, 2 * lane.hold))
+            lane.free_at = now + lane.hold * self.rng.uniform(0.5, 1.5)
             lane.credit = min(lane.credit, self.rng.uniform(-0.5, 0.5))
             if not shut:
                 return
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -98,7 +98,6 @@
     stretch: float = 1.0  # of the time-out
     hold: float = 0.0  # how long the latest refusal paces it
     free_at: float = NEVER  # a refusal paces it until then
-    refused_at: float = NEVER  # the latest refusal, until the next call there has told of room
     wait_until: float = NEVER
     blame: float = 0.0
     sick: bool = False
