--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -34,7 +34,7 @@
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
 SEEN = 0.05  # weight of one call in what is known of a kind of destination: some twenty calls
-SCARCE = 0.02  # part of calls without a connection that is no chance: idle ones are closed, misses no outage
+SCARCE = 0.02  # part of calls that get no connection above which idle ones are closed: half a call in SEEN
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 
@@ -294,11 +294,7 @@
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
-        waited = held.msg.destination in self.board.queues
-        if door.warm and not waited and self.blocked.get(door.entry.kind, 0.0) > SCARCE:
-            # Guards endpoints that take few connections: idle ones of many relays use them up.
-            door.warm = []
-            acts.append(CloseIdle(door.entry.id))
+        self._connections(door, event, acts)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
             self._reported(door.lane, *(event.report[n] for n in self.s.limit_report))
         if event.finished or held.withdrawn:
@@ -306,6 +302,17 @@
         else:
             self._wait(held)
 
+    def _connections(self, door: Door, event: AttemptEnded, acts: list[Action]) -> None:
+        """Guards endpoints that take few connections: idle ones of many relays use them up. Where calls of a
+        kind go without, idle ones are closed, unless more calls wait for them here."""
+        if event.outcome is Outcome.NOT_SENT:
+            return
+        kind, missed = door.entry.kind, float(event.outcome is Outcome.CONNECT_FAILED)
+        self.blocked[kind] = part = averaged(self.blocked.get(kind, 0.0), 0.0, missed, SEEN)[0]
+        if part > SCARCE and door.warm and door.entry.destination not in self.board.queues:
+            door.warm = []
+            acts.append(CloseIdle(door.entry.id))
+
     def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
         lane = door.lane
         self.flow.add(now, FADE_MS)
@@ -313,11 +320,7 @@
         self.usual = averaged(*self.usual, took, 0.05)
         lane.answers += 1
         lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
-        if lane.bad_since is None or now - lane.bad_since < FADE_MS:  # not after an outage, which tells nothing
-            part = self.blocked.get(door.entry.kind, 0.0)
-            part += (1 - (1 - SEEN) ** lane.misses) * (1 - part)
-            self.blocked[door.entry.kind] = part * (1 - SEEN)
-        lane.last_ok, lane.stretch, lane.hold, lane.misses = now, 1.0, lane.hold / 2, 0
+        lane.last_ok, lane.stretch, lane.hold = now, 1.0, lane.hold / 2
         lane.blame *= 1 - BLAME
         door.faults.pop(held.msg.class_, None)
         if lane.sick and lane.blame < SICK:
@@ -335,9 +338,6 @@
     def _failed(self, now: float, door: Door, held: Held, event: AttemptEnded) -> None:
         lane, shut = door.lane, event.wait_ms > SHUT_MS
         lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
-        lane.misses = lane.misses + 1 if event.outcome is Outcome.CONNECT_FAILED else 0
-        if lane.misses and self.blocked.get(door.entry.kind, 0.0) ** lane.misses > SCARCE and not lane.sick:
-            return  # so many in a row happen where calls of this kind often get no connection: no outage
         lane.ran_nothing = event.outcome.proves_no_effect
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
             lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -99,7 +99,6 @@
     hold: float = 0.0  # how long the latest refusal paces it
     free_at: float = NEVER  # a refusal paces it until then
     wait_until: float = NEVER
-    misses: int = 0  # calls in a row that got no connection
     blame: float = 0.0
     sick: bool = False
     failed_at: float = NEVER
