--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -66,6 +66,7 @@
         self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.flow = Flow()  # answers of all destinations
+        self.starts: dict[int, float] = {}  # kind of destination -> calls a second that may go unpaced
         self.blocked: dict[int, float] = {}  # kind of destination -> part of late calls without a connection
         self.busy = 0
         self.timer_at = 0.0
@@ -135,7 +136,8 @@
         if key not in lanes:
             total = listed or START * self.s.relays
             room = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
-            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, room, told=listed > 0)
+            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, room, entry.kind,
+                              self.rng.random(), told=listed > 0)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
@@ -251,8 +253,7 @@
                 self._end(now, held, acts)
 
     def _make_room(self, acts: list[Action], now: float) -> None:
-        """Before the hold fills (a full one turns newcomers away), refuses what will be worth least when
-        its queue has drained, so that a destination that is out or slow pays for itself."""
+        """Before the hold fills, refuses what will be worth least once its queue has drained."""
         for _ in range(len(self.board.held) - int(CROWDED * self.s.hold)):
             queues = self.board.queues
             drained = {dest: now + 1000 * len(queues[dest]) / self._speed(now, dest) for dest in queues}
@@ -294,7 +295,11 @@
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
-        self._connections(door, event, acts)
+        missed, part = event.outcome is Outcome.CONNECT_FAILED, self.blocked.get(door.lane.kind, 0.0)
+        self.blocked[door.lane.kind] = part + SEEN * (missed - part)
+        if part > SCARCE and door.warm:  # guards endpoints that take few connections: idle ones use them up
+            door.warm = []
+            acts.append(CloseIdle(door.entry.id))
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
             self._reported(door.lane, *(event.report[n] for n in self.s.limit_report))
         if event.finished or held.withdrawn:
@@ -302,17 +307,6 @@
         else:
             self._wait(held)
 
-    def _connections(self, door: Door, event: AttemptEnded, acts: list[Action]) -> None:
-        """Guards endpoints that take few connections: idle ones of many relays use them up. Where calls of a
-        kind go without, idle ones are closed, unless more calls wait for them here."""
-        if event.outcome is Outcome.NOT_SENT:
-            return
-        kind, missed = door.entry.kind, float(event.outcome is Outcome.CONNECT_FAILED)
-        self.blocked[kind] = part = averaged(self.blocked.get(kind, 0.0), 0.0, missed, SEEN)[0]
-        if part > SCARCE and door.warm and door.entry.destination not in self.board.queues:
-            door.warm = []
-            acts.append(CloseIdle(door.entry.id))
-
     def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
         lane = door.lane
         self.flow.add(now, FADE_MS)
@@ -327,8 +321,8 @@
             self._cold(now, lane)
         lane.bad_since = None
         if lane.credit < 1:
-            top = lane.total if lane.told else float("inf")
-            lane.pace = min(top, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
+            grown = lane.pace * (1 + (RISE if now > lane.free_at else GROWTH))
+            lane.pace = min(lane.total, grown) if lane.told else grown
 
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
@@ -374,6 +368,9 @@
             lane.told, part = True, limit / self.s.relays
             lane.pace, lane.total = lane.pace * limit / lane.total, limit
             change = 1 + GROWTH * (4 * left - 2)
+            # Guards limits that refused calls use up: where a kind reports little left, no call goes unpaced.
+            start = min(START, self.starts.get(lane.kind, START) * change)
+            self.starts[lane.kind] = max(START / self.s.relays, start)
             if change < 1 or lane.credit < 1:
                 lane.pace = min(limit, max(lane.pace * change, part / 3))
 
@@ -403,15 +400,18 @@
         bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
         if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
             return cold / self._knowers(now, lane), 1.0
-        pace = max(lane.pace, START) if now > lane.free_at else lane.pace  # rare calls fit a limit unpaced
+        start = self.starts.get(lane.kind, START)  # rare calls fit a limit unpaced, unless many are refused
+        pace = max(lane.pace, start) if now > lane.free_at else lane.pace
         if now < lane.cold_since + safety.cold_ms:
             warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
             return min(pace, cold * (1 + warmth / max(safety.cold_share, 0.01)) / lane.knowers), 1.0
-        return pace, max(BURST, pace * BURST_S)
+        return pace, max(1.0, BURST * start / START, pace * BURST_S)
 
     def _room_at(self, now: float, lane: Lane, out: bool) -> tuple[float, float]:
         """When this lane takes another call, and when it takes one that overdraws its pace."""
         pace, burst = self._pace(now, lane, out)
+        if lane.lot < 1 and self.starts.get(lane.kind, START) < START / 2:  # the first call takes turns too
+            lane.credit, lane.lot, lane.credit_at = min(lane.credit, lane.lot), 1.0, now
         lane.credit, lane.credit_at = min(burst, lane.credit + pace * (now - lane.credit_at) / 1000), now
         if out:
             if now > lane.next_trickle + 2 * LOOK_MS:  # turns are not saved up while slots are busy
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -89,6 +89,8 @@
     credit: float
     credit_at: float
     room: int = 1  # messages that one call takes
+    kind: int = 0
+    lot: float = 0.0  # drawn by chance: part of a call saved up where nothing else is
     doors: dict[int, Door] = field(default_factory=dict)
     out: dict[int, Call] = field(default_factory=dict)
     told: bool = True  # the total comes from the list or a report, not from a guess
