Fail-back kept where a hung destination only refuses and no rate is told

Cause (tap): hung, its queue full, it refused all calls for 15 s; a refusal is no failure, so after its pause each relay went back to half a call a second (START), 13 to 19 calls a second from relays that had been refused. Ruled out: several messages in one call (every call there had one), relays that do not know (a third of the calls). To blame: the cold budget asked for a second refusal in a row (lane.hold > HOLD_MS in _pace), which a relay that calls seldom does not see in time. Now one refusal and no answer for SHUT_MS is enough where no rate is told. Where one is told, the equal part bounds what relays send. Test: test_without_listed_rates_a_destination_that_only_refuses_... fails on the module before. Could hurt: a first refusal at a destination that is called seldom delays the next try.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -396,9 +396,9 @@
         part of what it can take cold, so that all relays that know of the outage stay within the budget."""
         safety, total = self.s.safety, lane.total / (ROUGH if self.s.rates is Rates.ROUGH else 1.0)
         cold = max(safety.fall_multiple * safety.cold_share, 0.01) * total
-        # Failed, or refused again, and no answer for long: shut, full or out, and back at any moment.
+        # Failed, or refused (again, where a rate is told), and no answer for long: it may be back any moment.
         bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
-        if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
+        if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS * lane.told):
             return cold / self._knowers(now, lane), 1.0
         start = self.starts.get(lane.kind, START)  # rare calls fit a limit unpaced, unless many are refused
         pace = max(lane.pace, start) if now > lane.free_at else lane.pace
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -515,3 +515,25 @@
             sent += len([1 for _, send in d.sent[start:] if send.endpoint > 22])
         sends.append(sent)
     assert sends[0] < 0.4 * sends[1]
+
+
+def test_without_listed_rates_a_destination_that_only_refuses_is_called_as_if_cold() -> None:
+    """Guards fail-back: a hung destination whose queue is full answers nothing but refusals."""
+    sends = 0
+    for seed in range(40):
+        d = Driver(make_settings(relays=40, rates=api.Rates.NONE), seed=seed)
+        d.listed((11, 1), (12, 2), rate=1.0)
+        for turn in range(6):
+            ident = d.message(dest=1 + turn % 2)  # each gets a call in 8 s
+            d.pass_time(100, 50)
+            d.answer(ident)
+            d.pass_time(3900, 100)
+        start = d.now
+        while d.now < start + 16000:
+            if len(d.out) + len(d.relay.board.held) < 6:
+                d.message(left=20000.0)
+            for ident in list(d.out):
+                d.answer(ident, api.Outcome.FULL)
+            d.pass_time(100, 50)
+        sends += len([at for at, _ in d.sent if at > start + 8000])
+    assert sends <= 8 * 2.0 * 0.2 * 40 / 8 * 2.0  # 8 s of the cold budget, as much for chance
