--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -27,7 +27,10 @@
         st.builds(cls, st.sampled_from(api.Effect), st.sampled_from([api.Scope.ALL, api.Scope.ZONE]),
                   st.booleans()), min_size=1, max_size=3))
     return make_settings(
-        classes=tuple(classes), kinds=(api.DestinationKind("k", routes_apart=draw(st.booleans())),),
+        classes=tuple(classes),
+        kinds=(api.DestinationKind("k", draw(st.integers(1, 3)), draw(st.booleans())),),
+        longest_advice_ms=draw(st.sampled_from([0.0, 2000.0])),
+        limit_report=draw(st.sampled_from([None, (0, 1)])),
         slots=draw(st.integers(1, 6)), hold=draw(st.integers(5, 30)), attempts=draw(st.integers(1, 5)),
         ask_for_list=draw(st.booleans()), rates=draw(st.sampled_from(api.Rates)),
         decay=draw(st.sampled_from(api.Decay)), marks_repeats=draw(st.booleans()),
@@ -51,6 +54,9 @@
             watch.event(now, event)
         for action in relay.handle(now, events):
             watch.action(now, action)
+            if isinstance(action, api.Refuse):
+                left = max(0.0, watch.seen[action.id].due - now)
+                assert 0 <= action.stay_away_ms <= min(setup.longest_advice_ms, left)
             if isinstance(action, api.Send):
                 number = tries.get(action.id, 0)
                 tries[action.id] = number + 1
@@ -70,7 +76,9 @@
                 wait = rng.choice([0.0, 300.0]) if outcome is api.Outcome.FULL else 0.0
                 finished = outcome is api.Outcome.OK or watch.seen[ident].over
                 del out[ident, number]
-                events.append(api.AttemptEnded(ident, number, send.endpoint, outcome, 80.0, finished, wait))
+                report = (rng.random(), 20.0) if setup.limit_report else ()
+                events.append(api.AttemptEnded(ident, number, send.endpoint, outcome, 80.0, finished, wait,
+                                               report=report))
         if rng.random() < 0.4 and step < 120:
             ids += 1
             events.append(api.Message(ids, rng.choice([1, 2, 3]), rng.randrange(len(setup.classes)),
