--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -34,7 +34,7 @@
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
 SEEN = 0.05  # weight of one call in what is known of a kind of destination: some twenty calls
-SCARCE = 0.02  # part of calls that get no connection above which idle ones are closed: half a call in SEEN
+SCARCE = 0.04  # part of answers after a missed connection above which idle ones are closed: one in SEEN
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 
@@ -67,7 +67,7 @@
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.flow = Flow()  # answers of all destinations
         self.starts: dict[int, float] = {}  # kind of destination -> calls a second that may go unpaced
-        self.blocked: dict[int, float] = {}  # kind of destination -> part of late calls without a connection
+        self.blocked: dict[int, float] = {}  # of a kind: part of answers that follow a missed connection
         self.busy = 0
         self.timer_at = 0.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
@@ -295,9 +295,7 @@
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
-        missed, part = event.outcome is Outcome.CONNECT_FAILED, self.blocked.get(door.lane.kind, 0.0)
-        self.blocked[door.lane.kind] = part + SEEN * (missed - part)
-        if part > SCARCE and door.warm:  # guards endpoints that take few connections: idle ones use them up
+        if door.warm and self.blocked.get(door.lane.kind, 0.0) > SCARCE:  # idle ones use up few connections
             door.warm = []
             acts.append(CloseIdle(door.entry.id))
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
@@ -314,8 +312,10 @@
         self.usual = averaged(*self.usual, took, 0.05)
         lane.answers += 1
         lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
-        lane.last_ok, lane.stretch, lane.hold = now, 1.0, lane.hold / 2
-        lane.blame *= 1 - BLAME
+        lane.last_ok, lane.stretch, lane.hold, lane.blame = now, 1.0, lane.hold / 2, lane.blame * (1 - BLAME)
+        part, soon = self.blocked.get(lane.kind, 0.0), now - (lane.bad_since or NEVER) < FADE_MS
+        # An answer soon after a missed connection: no outage, but an endpoint that takes few.
+        self.blocked[lane.kind] = part + SEEN * ((lane.missed and soon) - part)
         door.faults.pop(held.msg.class_, None)
         if lane.sick and lane.blame < SICK:
             self._cold(now, lane)
@@ -332,7 +332,7 @@
     def _failed(self, now: float, door: Door, held: Held, event: AttemptEnded) -> None:
         lane, shut = door.lane, event.wait_ms > SHUT_MS
         lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
-        lane.ran_nothing = event.outcome.proves_no_effect
+        lane.no_effect, lane.missed = event.outcome.proves_no_effect, event.outcome is Outcome.CONNECT_FAILED
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
             lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
             for other in self.board.queues.get(held.msg.destination, {}).values():
@@ -462,7 +462,7 @@
             room_at, overdraw_at = self._room_at(now, lane, out)
             # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
             cost = lane.mean + lane.blame * (lane.mean + DEVIATIONS * lane.dev) / (1 - lane.blame)
-            barred = (out or lane.blame > TRUSTED) and not lane.ran_nothing
+            barred = (out or lane.blame > TRUSTED) and not lane.no_effect
             for held in self.board.queues[dest].values():
                 # The pace is a guess: overdrawn for a client that won't wait, or a message its key waits for.
                 hurried = held.due < held.since + held.cls.aim_ms or self.board.followed(held)
@@ -496,7 +496,7 @@
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
             lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.uniform(0.7, 1.3)
         elif lane.room > 1:  # one call, slot and place in the limit for a clump or backlog
-            trusted = lane.blame <= TRUSTED or lane.ran_nothing
+            trusted = lane.blame <= TRUSTED or lane.no_effect
             queue = self.board.queues[held.msg.destination].values()
             riders += [other for other in queue if other is not held and self._may_send(now, other, door)
                        and (trusted or other.cls.effect is not Effect.UNSAFE)][: lane.room - 1]
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -104,7 +104,8 @@
     blame: float = 0.0
     sick: bool = False
     failed_at: float = NEVER
-    ran_nothing: bool = False  # the latest failure proved no effect
+    no_effect: bool = False  # the latest failure proved no effect
+    missed: bool = False  # the latest failure was a connection that was not made
     bad_since: float | None = None  # send of the first call that failed since the last answer
     cold_since: float = NEVER
     knowers: float = 1.0  # relays that may know of the latest outage
