Decision module moved to linnetstile/decisions; two breaks with several messages in a call mended

A newer hypothesis found two breaks where the messages of one call end apart: a wait told to a message that was not the first to be answered was not heeded (rule of told waits), and a message sent again while another of its first call was still out made the module fail with KeyError. The wait now binds whichever message was told it, and calls are told apart by identity and not by their first message. Two tests fail without the change.

--- a/linnetstile/control.py
+++ b/linnetstile/decisions/control.py
@@ -1,4 +1,4 @@
-"""Every decision of a relay. Vocabulary: linnetstile/interface.py; memory: linnetstile/state.py.
+"""Every decision of a relay. Vocabulary: decisions/interface.py; memory: decisions/state.py.
 
 Messages for a destination wait in its queue; what was seen of it is in its `Lane` (one a route, if apart)."""
 
@@ -48,7 +48,7 @@
     if lane.sick or not lane.out:
         return lane.sick
     overdue = now - (lane.mean + OVERDUE * lane.dev) * lane.stretch
-    late = [call.door for call in lane.out.values() if lane.last_ok <= call.since < overdue]
+    late = [call.door for call in lane.out if lane.last_ok <= call.since < overdue]
     return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
 
 
@@ -278,7 +278,7 @@
         if call.open == 0:
             self.busy -= 1
             door.out -= 1
-            del door.lane.out[call.lead]
+            door.lane.out.remove(call)
         self.board.look(held.msg.destination)
         if counts and not door.lane.told and door.lane.bad_since is None:
             self._gauge(now, door.lane)
@@ -291,6 +291,8 @@
         # Both layers pause before the next try: growing and jittered after any told wait.
         pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
         held.ready = now + pause
+        if event.wait_ms > 0:  # binds whichever message of a call was told it, the others' answers or not
+            self._told(now, door.lane, held, event.wait_ms)
         if counts and event.outcome is Outcome.OK:
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
@@ -329,15 +331,17 @@
         lane.knowers = self._knowers(now, lane)
         lane.sick, lane.cold_since, lane.credit, lane.bad_since = False, now, 0.0, None
 
+    def _told(self, now: float, lane: Lane, held: Held, wait_ms: float) -> None:
+        """A wait was told, to many relays at once: the growing, jittered pause comes after it."""
+        lane.wait_until = max(lane.wait_until, held.ready + wait_ms)
+        for other in self.board.queues.get(held.msg.destination, {}).values():
+            if self._last(other) == NEVER:  # the wait outlasts it
+                heapq.heappush(self.ends, (now, other.msg.id))
+
     def _failed(self, now: float, door: Door, held: Held, event: AttemptEnded) -> None:
         lane, shut = door.lane, event.wait_ms > SHUT_MS
         lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
         lane.no_effect, lane.missed = event.outcome.proves_no_effect, event.outcome is Outcome.CONNECT_FAILED
-        if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
-            lane.wait_until = max(lane.wait_until, held.ready + event.wait_ms)
-            for other in self.board.queues.get(held.msg.destination, {}).values():
-                if self._last(other) == NEVER:  # the wait outlasts it
-                    heapq.heappush(self.ends, (now, other.msg.id))
         if event.outcome is Outcome.FULL:
             part, cut = lane.total / self.s.relays if lane.told else START, lane.pace * CUT
             paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
@@ -500,7 +504,8 @@
             queue = self.board.queues[held.msg.destination].values()
             riders += [other for other in queue if other is not held and self._may_send(now, other, door)
                        and (trusted or other.cls.effect is not Effect.UNSAFE)][: lane.room - 1]
-        call = lane.out[held.msg.id] = Call(held.msg.id, door, now, len(riders))
+        call = Call(door, now, len(riders))
+        lane.out.append(call)
         door.out += 1
         lane.credit -= 1
         self.busy += 1
--- a/linnetstile/state.py
+++ b/linnetstile/decisions/state.py
@@ -67,11 +67,10 @@
     warm: list[float] = field(default_factory=list)  # when each idle connection was last used
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)  # told apart by identity: two calls may be alike
 class Call:
     """One call that is out, with one message or several."""
 
-    lead: int  # id of the message that it is remembered by
     door: Door
     since: float
     open: int  # messages without an outcome
@@ -92,7 +91,7 @@
     kind: int = 0
     lot: float = 0.0  # drawn by chance: part of a call saved up where nothing else is
     doors: dict[int, Door] = field(default_factory=dict)
-    out: dict[int, Call] = field(default_factory=dict)
+    out: list[Call] = field(default_factory=list)
     told: bool = True  # the total comes from the list or a report, not from a guess
     flow: Flow = field(default_factory=Flow)  # answers
     answers: int = 0
--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator
 from typing import Any, BinaryIO
 
-from . import interface as api
-from .control import Relay
+from .decisions import interface as api
+from .decisions.control import Relay
 
 EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
 SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.ENDPOINT}
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from linnetstile import interface as api
+from linnetstile.decisions import interface as api
 
 
 class Breach(AssertionError):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,8 @@
 
 from hypothesis import settings as hypothesis_settings
 
-from linnetstile import interface as api
-from linnetstile.control import Relay
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.control import Relay
 
 hypothesis_settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
 hypothesis_settings.load_profile("fixed")
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linnetstile import interface as api
-from linnetstile.control import Relay
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.control import Relay
 
 from .checker import Breach, Checker
 from .conftest import make_settings
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from linnetstile import interface as api
+from linnetstile.decisions import interface as api
 
 from .conftest import CLASSES, KEYED, SAFE, UNCLEAR, UNSAFE, Driver, make_settings
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -1,6 +1,6 @@
 """What the module does, and must not do, under each kind of symptom."""
 
-from linnetstile import interface as api
+from linnetstile.decisions import interface as api
 
 from .conftest import KEYED, SAFE, UNSAFE, Driver, make_settings
 
@@ -535,3 +535,34 @@
         d.pass_time(3000, 50)
         sends += len(d.sent) - start
     assert sends <= 3 * 2.0 * 0.2 * 40 / 8 * 2.0  # 3 s of the cold budget, as much for chance
+
+
+def two_in_one_call() -> tuple[Driver, list[int]]:
+    d = Driver(make_settings(kinds=(api.DestinationKind("k", batch=4),), slots=4))
+    d.listed((11, 1), (12, 2), (13, 3))
+    blocked = [d.message(dest=dest) for dest in (2, 2, 3, 3)]
+    pair = [d.message(), d.message()]
+    d.answer(blocked[0])
+    d.answer(blocked[2])
+    assert set(pair) <= set(d.out)
+    return d, pair
+
+
+def test_a_wait_told_to_one_message_of_a_call_binds_whatever_the_others_were_answered() -> None:
+    d, (first, second) = two_in_one_call()
+    d.answer(first)
+    d.answer(second, api.Outcome.FULL, wait=3000.0)
+    before = len(d.sent)
+    d.message()
+    d.pass_time(2900)
+    assert not [send for _, send in d.sent[before:] if send.endpoint == 11]
+
+
+def test_messages_of_one_call_may_end_at_different_times() -> None:
+    d, (first, second) = two_in_one_call()
+    d.answer(first, api.Outcome.FULL)
+    d.pass_time(2000, 20)
+    assert first in d.out
+    d.answer(first)
+    d.answer(second)  # its call is still the first one
+    assert not d.out.keys() & {first, second} and d.relay.busy == len(d.out)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from linnetstile import interface as api
+from linnetstile.decisions import interface as api
 from linnetstile import wirehost
 
 SETTINGS: dict[str, Any] = {
