The running relay: AS2 over own HTTP/1.1, hosted module, stand-ins, play and check

Until now the decisions had no program around them. New decisions have files of their own: evidence (what an answer proves), identifiers (messages handed in again), routing, handback.

--- /dev/null
+++ b/linnetstile/cli/main.py
@@ -0,0 +1,53 @@
+"""The command `linnetstile`. Sub-commands are imported when called: `--help` stays quick.
+
+Exit codes: 0 well; 1 the answer is no (a rule broken, a message not delivered); 2 bad arguments, settings or
+records; 3 could not start; 4 stopped with messages unanswered."""
+
+from __future__ import annotations
+
+import importlib
+
+import click
+
+COMMANDS = {
+    "relay": "Run one relay from a settings file.",
+    "play": "Play a day through real relays and judge it.",
+    "check": "Judge the record of a run by the rules.",
+    "send": "Hand one AS2 message in and show its answer.",
+    "standin": "Run a stand-in: partner, register or client.",
+}
+
+
+class Lazy(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in COMMANDS:
+            return None
+        found = importlib.import_module(f"linnetstile.cli.{name}").command
+        assert isinstance(found, click.Command)
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl(list(COMMANDS.items()))
+
+
+@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="linnetstile")
+def main() -> None:
+    """linnetstile takes AS2 messages and carries them to partners that nobody here controls.
+
+    \b
+    A first look:   linnetstile play days/two-troubles.yaml
+    One relay:      linnetstile relay relay.yaml
+    Its answers:    linnetstile send --to 127.0.0.1:4080 --from a --partner b FILE
+
+    Exit codes: 0 well; 1 the answer is no; 2 bad arguments, settings or records; 3 could not start;
+    4 stopped with messages unanswered.
+    """
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/linnetstile/cli/play.py
@@ -0,0 +1,41 @@
+"""linnetstile play"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from .common import FILE, die, settings
+
+
+@click.command()
+@click.argument("day", type=FILE)
+@click.option("--record", type=click.Path(file_okay=False, path_type=Path),
+              help="Folder for the records, new or empty; else one in the temporary directory.")
+@click.option("--seed", type=int, help="Another draw of the same day.")
+@click.option("--json", "as_json", is_flag=True, help="The verdict for scripts.")
+def command(day: Path, record: Path | None, seed: int | None, as_json: bool) -> None:
+    """Play DAY (YAML): register, partners, relays and clients run as processes of their own on loopback, troubles
+    come by the clock, and the record of their sockets is judged. It ends by itself.
+
+    Exit code 0: every rule kept; 1: one broken; 2: a bad file; 3: a process did not start or ended by itself.
+    """
+    from ..lab.day import Day
+    from ..lab.play import PlayError, play
+    from .check import show
+
+    found = settings(day, Day)
+    if seed is not None:
+        found = found.model_copy(update={"seed": seed})
+    folder = record or Path(tempfile.mkdtemp(prefix=f"linnetstile-{found.name}-"))
+    if folder.exists() and any(folder.iterdir()):
+        die(2, f"{folder}: expected a new or empty folder")
+    try:
+        play(found, folder, lambda text: click.echo(text, err=True))
+    except PlayError as error:
+        die(3, f"linnetstile play: {error}")
+    click.echo(f"record: {folder}\n", err=True)
+    sys.exit(show(folder, as_json))
--- /dev/null
+++ b/linnetstile/cli/relay.py
@@ -0,0 +1,39 @@
+"""linnetstile relay"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import click
+
+from .common import FILE, settings
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info",
+              show_default=True)
+@click.option("--check", is_flag=True, help="Validate the file and end.")
+@click.option("--ready-file", type=click.Path(dir_okay=False, path_type=Path),
+              help="Write the line with the address here too, once it listens.")
+def command(file: Path, log_level: str, check: bool, ready_file: Path | None) -> None:
+    """Run one relay with the settings in FILE (YAML).
+
+    Once it listens, one JSON line with its address goes to standard output; the log goes to standard error. SIGTERM:
+    it takes no more, answers what it holds and ends (0), or ends when limits.stop_ms has passed (4). A second
+    SIGTERM ends it at once.
+    """
+    from ..config.relay import RelaySettings
+    from ..service.process import run
+    from ..telemetry.log import logger
+
+    found = settings(file, RelaySettings)
+    if check:
+        click.echo(f"{file}: good")
+        return
+    sys.exit(asyncio.run(run(found, logger(log_level, relay=found.name), ready_file)))
+
+
+__all__ = ["command"]
--- /dev/null
+++ b/linnetstile/config/relay.py
@@ -0,0 +1,195 @@
+"""The settings of one relay, and what the decision module is handed of them. Times are in ms unless named _s."""
+
+from __future__ import annotations
+
+import ipaddress
+import urllib.parse
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field, model_validator
+
+from ..decisions import interface as api
+from ..decisions.routing import Rule
+from .files import Strict
+
+Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
+def loopback(text: str) -> str:
+    """An address this program may listen on or call: `127.x.y.z:port` or `[::1]:port`."""
+    host, colon, port = text.rpartition(":")
+    try:
+        inside = ipaddress.ip_address(host.strip("[]")).is_loopback
+    except ValueError:
+        inside = False
+    if not colon or not inside or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError("expected a loopback address and port, such as 127.0.0.1:4080")
+    return text
+
+
+def split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def loopback_url(text: str) -> str:
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme != "http" or parts.username or parts.fragment:
+        raise ValueError("expected a URL such as http://127.0.0.1:4090/as2")
+    loopback(parts.netloc)
+    return text
+
+
+Address = Annotated[str, AfterValidator(loopback)]
+Url = Annotated[str, AfterValidator(loopback_url)]
+
+
+class ClassSettings(Strict):
+    effect: Literal["safe", "keyed", "unsafe"]
+    aim_ms: Positive
+    deadline_ms: Positive
+    worth: NotNegative = 1.0
+    late_share: Share = 0.0
+    key_window_ms: NotNegative = 0.0
+    key_scope: Literal["all", "zone", "endpoint"] = "all"
+    in_order: bool = False
+
+    @model_validator(mode="after")
+    def _whole(self) -> ClassSettings:
+        if self.aim_ms > self.deadline_ms:
+            raise ValueError("expected aim_ms to be at most deadline_ms")
+        if self.effect == "keyed" and not self.key_window_ms:
+            raise ValueError("expected key_window_ms above 0 for a keyed class")
+        return self
+
+
+class KindSettings(Strict):
+    batch: Literal[1] = 1  # AS2 carries one message in a request
+    routes_apart: bool = False
+
+
+class RuleSettings(Strict):
+    class_: str = Field(alias="class")
+    tenant: str | None = None
+    sender: str = Field("*", alias="from")
+    receiver: str = Field("*", alias="to")
+    subject: str = "*"
+    content_type: str = "*"
+
+
+class PartnerSettings(Strict):
+    certificate: Path | None = None  # PEM; receipts must be signed by its key where a signature was asked for
+    receipts: Literal["sync", "async"] = "sync"
+
+
+class SafetySettings(Strict):
+    answer_slack_ms: NotNegative = 20.0
+    drain_grace_ms: NotNegative = 250.0
+    cold_share: Annotated[float, Field(gt=0, le=1)] = 0.2
+    cold_ms: NotNegative = 10_000.0
+    fall_multiple: Positive = 2.0
+    fall_ms: Positive = 1500.0
+    ask_within_ms: Positive = 10_000.0
+    key_rest_ms: NotNegative = 100.0
+
+
+class GoalSettings(Strict):
+    whole: NotNegative = 1.0
+    worst_window: NotNegative = 0.0
+    worst_class: NotNegative = 0.0
+    worst_tenant: NotNegative = 0.0
+
+
+class ZoneSettings(Strict):
+    fee: NotNegative = 0.0
+
+
+class TenantSettings(Strict):
+    quota_per_s: Positive
+
+
+class LimitSettings(Strict):
+    slots: Count
+    hold: Count
+    attempts: Annotated[int, Field(ge=1, le=64)] = 6
+    body_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 16 * 1024 * 1024
+    head_bytes: Annotated[int, Field(ge=1024, le=1 << 20)] = 65_536
+    connections: Count = 4096
+    connect_timeout_ms: Positive = 3000.0
+    idle_ms: Positive = 15_000.0
+    head_ms: Positive = 10_000.0
+    body_ms: Positive = 60_000.0
+    remember_ms: Positive = 600_000.0
+    remember: Count = 100_000
+    longest_advice_ms: NotNegative = 30_000.0
+    stop_ms: NotNegative | None = None  # None: until the last held message has had its time
+
+
+class IdentitySettings(Strict):
+    as2_name: str = Field("linnetstile", min_length=1, max_length=128)
+    pem: Path | None = None  # key and certificate, for the relay's own receipts
+
+
+class RelaySettings(Strict):
+    """The whole file."""
+
+    name: str = Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")
+    listen: Address = "127.0.0.1:0"
+    register_url: Url = Field(alias="register")
+    relays: Count = 1
+    zone: str | None = None
+    identity: IdentitySettings = IdentitySettings()
+    classes: Annotated[dict[str, ClassSettings], Field(min_length=1)]
+    kinds: dict[str, KindSettings] = {}
+    zones: dict[str, ZoneSettings] = {}
+    tenants: dict[str, TenantSettings] = {}
+    rules: Annotated[list[RuleSettings], Field(min_length=1)]
+    partners: dict[str, PartnerSettings] = {}
+    limits: LimitSettings
+    rates: Literal["none", "nominal", "rough"] = "nominal"
+    decay: Literal["line", "halves"] = "line"
+    over_share_worth: Share = 1.0
+    cross_zone_price: NotNegative = 0.0
+    receipts_sha1: bool = False  # read signatures over SHA-1, for partners that can do no better
+    safety: SafetySettings = SafetySettings()
+    goal: GoalSettings = GoalSettings()
+    seed: int = 0
+
+    @model_validator(mode="after")
+    def _names(self) -> RelaySettings:
+        for n, rule in enumerate(self.rules):
+            if rule.class_ not in self.classes:
+                raise ValueError(f"rules.{n}.class: expected one of {', '.join(self.classes)}, not {rule.class_!r}")
+            if rule.tenant is not None and rule.tenant not in self.tenants:
+                raise ValueError(f"rules.{n}.tenant: {rule.tenant!r} is not among the tenants")
+        if self.zone is not None and self.zone not in self.zones:
+            raise ValueError(f"zone: {self.zone!r} is not among the zones")
+        return self
+
+    def router_rules(self) -> tuple[Rule, ...]:
+        classes, tenants = list(self.classes), list(self.tenants)
+        # Without a tenant a message has the number behind the last one, which no quota names.
+        return tuple(Rule(classes.index(r.class_), len(tenants) if r.tenant is None else tenants.index(r.tenant),
+                          r.sender, r.receiver, r.subject, r.content_type) for r in self.rules)
+
+    def module(self) -> api.Settings:
+        """What the decision module is told."""
+        return api.Settings(
+            classes=tuple(api.MessageClass(
+                name, api.Effect(c.effect), c.aim_ms, c.deadline_ms, c.worth, c.late_share, c.key_window_ms,
+                api.Scope(c.key_scope), c.in_order) for name, c in self.classes.items()),
+            kinds=tuple(api.DestinationKind(name, k.batch, k.routes_apart) for name, k in self.kinds.items())
+            or (api.DestinationKind("any"),),
+            slots=self.limits.slots, hold=self.limits.hold, attempts=self.limits.attempts, relays=self.relays,
+            zone=list(self.zones).index(self.zone) if self.zone is not None else 0,
+            tenants=tuple(api.Tenant(name, t.quota_per_s) for name, t in self.tenants.items()),
+            over_share_worth=self.over_share_worth, decay=api.Decay(self.decay), rates=api.Rates(self.rates),
+            ask_for_list=True, idle_ms=self.limits.idle_ms, connect_timeout_ms=self.limits.connect_timeout_ms,
+            longest_advice_ms=self.limits.longest_advice_ms, cross_zone_price=self.cross_zone_price,
+            route_fees=tuple(z.fee for z in self.zones.values()),
+            safety=api.Safety(**self.safety.model_dump()), goal=api.Goal(**self.goal.model_dump()),
+        )
--- /dev/null
+++ b/linnetstile/service/process.py
@@ -0,0 +1,45 @@
+"""A relay as a process: signals, the line that tells its address, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from ..config.relay import RelaySettings
+from ..telemetry import log as names
+from .relay import Service
+
+
+async def run(settings: RelaySettings, log: Any, ready: Path | None = None) -> int:
+    """Runs until SIGTERM or SIGINT; a second one ends it at once. 0 = everything held was answered, 4 = not."""
+    try:
+        service = Service(settings, log)
+        address = await service.start()
+    except (OSError, ValueError) as error:
+        log.error(names.FAULT, why=str(error))
+        print(f"linnetstile relay: can't start: {error}", file=sys.stderr)
+        return 3
+    loop = asyncio.get_running_loop()
+
+    def stop() -> None:
+        if service.stopping:
+            service.stopped.set()
+        service.stop()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    log.info(names.STARTED, address=address, slots=settings.limits.slots, hold=settings.limits.hold)
+    line = json.dumps({"listening": address, "name": settings.name})
+    if ready is not None:
+        ready.write_text(line + "\n")
+    print(line, flush=True)
+    await service.stopped.wait()
+    left = len(service.carried)
+    service.close()
+    await asyncio.sleep(0)
+    log.info(names.STOPPED, unanswered=left, **service.counts)
+    return 4 if left else 0
--- /dev/null
+++ b/linnetstile/service/relay.py
@@ -0,0 +1,470 @@
+"""One relay: intake, the module and its clock, delivery, answers. Nothing here decides about a message."""
+
+from __future__ import annotations
+
+import asyncio
+import email.utils
+import hashlib
+import math
+import secrets
+import time
+import urllib.parse
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..codec import as2, http1
+from ..config.relay import RelaySettings, loopback_url, split
+from ..decisions import handback
+from ..decisions import interface as api
+from ..decisions.control import Relay
+from ..decisions.evidence import Receipt, Seen, Sight, proof
+from ..decisions.identifiers import Hand, Identifiers
+from ..decisions.routing import Router
+from ..net import client, server
+from ..telemetry import log as names
+from .receipts import Answer, Receipts
+from .register import Place, Register
+
+# Hop by hop (RFC 9110, 7.6.1) or ours to say; all else of the client's head goes on as it came.
+NOT_FORWARDED = {"host", "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+                 "upgrade", "content-length", "expect", "receipt-delivery-option", "via"}
+ANSWER = "Linnetstile-Answer"  # delivered, refused or failed: what kind of final answer this is
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    number: int
+    endpoint: int
+    began: float
+    call: client.Call | None = None
+    token: str = ""  # of the receipt address, where the receipt comes on its own
+    awaiting: bool = False  # answered, and the receipt is still to come
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Carried:
+    """One message from its acceptance to its final answer."""
+
+    id: int
+    head: as2.Head
+    headers: http1.Headers
+    body: bytes
+    class_: int
+    due: float  # loop time, ms
+    waiters: list[server.Exchange] = field(default_factory=list)
+    tries: int = 0
+    attempt: Attempt | None = None
+    delivered: Answer | None = None
+
+
+def retry_after(headers: http1.Headers) -> float | None:
+    """Retry-After in ms: seconds, or a date against this clock, past ones 0 (RFC 9110, 10.2.3)."""
+    text = headers.get("retry-after")
+    if text.isascii() and text.isdigit() and len(text) < 12:
+        return int(text) * 1000.0
+    try:
+        return max(0.0, (email.utils.parsedate_to_datetime(text).timestamp() - time.time()) * 1000) if text else None
+    except (ValueError, TypeError, OverflowError):
+        return None
+
+
+def plain(status: int, text: str, kind: str, stay_ms: float | None = None) -> Answer:
+    headers = [("Content-Type", "text/plain; charset=utf-8")]
+    if stay_ms is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(stay_ms / 1000)))))
+    return Answer(status, tuple(headers), (text + "\n").encode(), kind)
+
+
+class Service:
+    """Start with `start`, stop with `stop`; `stopped` is set once nothing is held."""
+
+    def __init__(self, settings: RelaySettings, log: Any, seed: int | None = None) -> None:
+        self.s = settings
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        limits, module = settings.limits, settings.module()
+        self.classes = module.classes
+        self.relay = Relay(module, settings.seed if seed is None else seed)
+        self.router = Router(settings.router_rules())
+        self.identifiers: Identifiers[Carried, Answer] = Identifiers(limits.remember_ms, limits.remember)
+        self.receipts = Receipts(settings)
+        self.register = Register(settings.register_url, settings.name, list(settings.kinds), list(settings.zones),
+                                 self._listed, log)
+        bounds = http1.Limits(body=limits.body_bytes, head=limits.head_bytes)
+        self.pool = client.Pool(limits.connect_timeout_ms / 1000, limits.idle_ms / 1000, bounds)
+        self.server = server.Server(
+            self._request, self._head, bounds,
+            server.Bounds(limits.connections, limits.head_ms / 1000, limits.body_ms / 1000), self._bad_peer)
+        self.carried: dict[int, Carried] = {}
+        self.tokens: dict[str, tuple[Carried, Attempt]] = {}
+        self.counts: dict[str, int] = {}
+        self.events: list[api.Event] = []
+        self.planned = False
+        self.ids = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.stopping = False
+        self.stopped = asyncio.Event()
+        self.address = ""
+        self.handbacks: set[asyncio.TimerHandle] = set()
+
+    async def start(self) -> str:
+        """Listens and asks for the list; returns the address."""
+        host, port = split(self.s.listen)
+        self.address = f"{host}:{await self.server.start(host, port)}"
+        self._plan()
+        return self.address
+
+    def stop(self) -> None:
+        """Takes no more from now on; ends once what is held has its answer, at the latest after `stop_ms`."""
+        if self.stopping:
+            return
+        self.stopping = True
+        longest = max(cls.deadline_ms for cls in self.classes) + 1000.0
+        grace = self.s.limits.stop_ms if self.s.limits.stop_ms is not None else longest
+        self.log.info(names.STOPPING, held=len(self.carried), within_ms=grace)
+        self.loop.call_later(grace / 1000, self._overtime)
+        self._maybe_stopped()
+
+    def _overtime(self) -> None:
+        for carried in self.carried.values():
+            self.log.error(names.UNFINISHED, message=carried.head.id, partner=carried.head.receiver,
+                           attempts=carried.tries, out=carried.attempt is not None)
+        self.stopped.set()
+
+    def _maybe_stopped(self) -> None:
+        if self.stopping and not self.carried and not self.handbacks:
+            self.loop.call_later(0.05, self.stopped.set)  # the last answers are on their way out
+
+    def close(self) -> None:
+        """Ends every connection at once."""
+        if self.timer:
+            self.timer.cancel()
+        for handle in self.handbacks:
+            handle.cancel()
+        self.server.close()
+        self.pool.close()
+        self.register.close()
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    @property
+    def now(self) -> float:
+        return self.loop.time() * 1000
+
+    # -- the module ------------------------------------------------------------------------------------------
+
+    def _tell(self, event: api.Event) -> None:
+        self.events.append(event)
+        self._plan()
+
+    def _plan(self) -> None:
+        if not self.planned:
+            self.planned = True
+            self.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        """One turn of the module: all that happened since the last one, in its order."""
+        self.planned = False
+        events, self.events = self.events, []
+        for action in self.relay.handle(self.now, events):
+            self._act(action)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send(ident, endpoint, until):
+                self._send(self.carried[ident], endpoint, until)
+            case api.Refuse(ident, stay):
+                carried = self.carried[ident]
+                text = f"refused: {self._why(carried)}; nothing was done, it may be handed in again"
+                self._final(carried, plain(503, text, "refused", stay))
+            case api.Fail(ident):
+                carried = self.carried[ident]
+                text = f"failed: {self._why(carried)}; it may or may not have taken effect"
+                own = self.receipts.own(carried.head, text)
+                self._final(carried, Answer(own.status, own.headers, own.body, "failed"))
+            case api.SetTimer(delay, token):
+                if self.timer:
+                    self.timer.cancel()
+                self.timer = self.loop.call_later(delay / 1000, self._tell, api.TimerFired(token))
+            case api.Cancel(ident, number):
+                attempt = self.carried[ident].attempt if ident in self.carried else None
+                if attempt and attempt.number == number and attempt.call:
+                    attempt.call.abort(Sight.CANCELLED)
+            case api.CloseIdle(endpoint):
+                if endpoint in self.register.places:
+                    self.pool.close_idle(self.register.places[endpoint].address)
+            case api.WatchList():
+                self.register.ask()
+            case api.Probe(endpoint):
+                self._tell(api.ProbeEnded(endpoint, api.Outcome.NOT_SENT))  # AS2 has no probe
+            case api.Log(text):
+                self.log.info("module", text=text)
+
+    @staticmethod
+    def _why(carried: Carried) -> str:
+        if not carried.tries:
+            return "no room, or no way to deliver it in time"
+        return f"{carried.tries} attempt{'s' * (carried.tries > 1)} without an answer that holds"
+
+    def _listed(self, event: api.EndpointList) -> None:
+        self._tell(event)
+        for entry in event.entries:
+            if entry.listing is not api.Listing.READY and entry.id in self.register.places:
+                self.pool.close_idle(self.register.places[entry.id].address)
+
+    # -- intake ----------------------------------------------------------------------------------------------
+
+    def _bad_peer(self, peer: str, error: http1.ProtocolError) -> None:
+        self.log.warning(names.BAD_PEER, peer=peer, status=error.status, why=error.text)
+
+    def _head(self, exchange: server.Exchange) -> None:
+        """Before the body is read: what can be refused by its head alone."""
+        if exchange.head.target.startswith("/receipt/"):
+            return
+        if exchange.head.method != "POST":
+            answer = self._status(exchange.head) or plain(405, "messages are handed in by POST", "")
+            exchange.reply(answer.status, answer.headers, answer.body)
+        elif self.stopping:
+            self._refuse(exchange, plain(503, "refused: this relay is stopping; try another", "refused", 1000.0), "")
+
+    def _status(self, head: http1.Request) -> Answer | None:
+        if head.method not in ("GET", "HEAD") or head.target != "/health":
+            return None
+        if self.stopping:
+            return plain(503, "draining", "")
+        return plain(200, "ready" if self.register.version >= 0 else "starting: no list of endpoints yet", "")
+
+    def _refuse(self, exchange: server.Exchange, answer: Answer, ident: str) -> None:
+        self.count("refused_at_door")
+        self.log.info(names.REFUSED_AT_DOOR, message=ident, status=answer.status, why=answer.body.decode().strip())
+        self._reply(exchange, answer)
+
+    def _request(self, exchange: server.Exchange) -> None:
+        if exchange.answered:
+            return
+        if exchange.head.target.startswith("/receipt/"):
+            self._receipt(exchange)
+            return
+        headers = exchange.head.headers
+        try:
+            head = as2.Head.of(headers)
+            if head.reply_to:
+                loopback_url(head.reply_to)
+        except as2.As2Error as error:
+            self._refuse(exchange, plain(400, f"refused: {error}", "refused"), headers.get("message-id")[:200])
+            return
+        except ValueError as error:
+            text = f"refused: Receipt-Delivery-Option: {error}"
+            self._refuse(exchange, plain(400, text, "refused"), head.id)
+            return
+        rule = self.router.match(head.sender, head.receiver, head.subject, headers.get("content-type"))
+        partner = self.register.partners.get(head.receiver)
+        if rule is None:
+            text = f"refused: no rule takes a message from {head.sender} to {head.receiver} of this subject and type"
+            self._refuse(exchange, plain(403, text, "refused"), head.id)
+            return
+        digest = hashlib.blake2b(headers.get("content-type").encode() + b"\0" + head.receiver.encode() + b"\0"
+                                 + exchange.body, digest_size=16).digest()
+        hand, known = self.identifiers.look(self.now, head.sender, head.id, digest)
+        if hand is Hand.CONFLICT:
+            text = "refused: this Message-ID was handed in before with other content"
+            self._refuse(exchange, plain(409, text, "refused"), head.id)
+        elif hand is Hand.OPEN and known is not None and known.open is not None:
+            self.log.info(names.REPEATED, message=head.id, open=True)
+            self._join(known.open, exchange)
+        elif hand is Hand.ANSWERED and known is not None and known.answer is not None:
+            self.log.info(names.REPEATED, message=head.id, open=False, answer=known.answer.kind)
+            self._give(head, exchange, known.answer)
+        elif partner is None:
+            if self.register.version < 0:
+                text = "refused: the list of partners has not been read yet"
+                self._refuse(exchange, plain(503, text, "refused", 1000.0), head.id)
+            else:
+                self._refuse(exchange, plain(404, f"refused: no partner {head.receiver} is listed", "refused"), head.id)
+        else:
+            self._take(exchange, head, rule.class_, rule.tenant, partner, digest)
+
+    def _take(self, exchange: server.Exchange, head: as2.Head, class_: int, tenant: int, partner: int,
+              digest: bytes) -> None:
+        self.ids += 1
+        cls = self.classes[class_]
+        due = exchange.began * 1000 + cls.deadline_ms
+        carried = Carried(self.ids, head, exchange.head.headers, exchange.body, class_, due)
+        self.carried[carried.id] = carried
+        self.identifiers.open(head.sender, head.id, digest, carried)
+        self.count("taken")
+        self.log.info(names.TAKEN, message=head.id, sender=head.sender, partner=head.receiver, cls=cls.name)
+        key = 0
+        if cls.in_order:
+            pair = f"{head.sender}\0{head.receiver}".encode()
+            key = int.from_bytes(hashlib.blake2b(pair, digest_size=7).digest(), "big") + 1
+        self._join(carried, exchange)
+        self._tell(api.Message(carried.id, partner, class_, max(0.0, due - self.now), tenant, key))
+
+    def _join(self, carried: Carried, exchange: server.Exchange) -> None:
+        """Waits for the final answer, on this connection or by the receipt address."""
+        if not carried.head.reply_to:
+            carried.waiters.append(exchange)
+        else:
+            exchange.reply(202, [("Content-Type", "text/plain")], b"taken; the receipt follows\n")
+
+    # -- delivery --------------------------------------------------------------------------------------------
+
+    def _send(self, carried: Carried, endpoint: int, until: float) -> None:
+        assert carried.attempt is None, "two attempts at once"
+        attempt = Attempt(carried.tries, endpoint, self.now)
+        carried.tries += 1
+        carried.attempt = attempt
+        place = self.register.places.get(endpoint)
+        if place is None:
+            self._outcome(carried, attempt, Seen(Sight.NOT_SENT), None)
+            return
+        self.log.debug(names.ATTEMPT, message=carried.head.id, attempt=attempt.number, endpoint=endpoint,
+                       until_ms=round(until - self.now))
+        data = http1.request("POST", place.target, self._fields(carried, attempt, place), carried.body)
+        attempt.call = self.pool.call(place.address, "POST", data,
+                                      lambda answer: self._answered(carried, attempt, answer), until / 1000)
+        if attempt.token:
+            attempt.timer = self.loop.call_at(until / 1000, self._no_receipt, carried, attempt)
+
+    def _fields(self, carried: Carried, attempt: Attempt, place: Place) -> list[tuple[str, str]]:
+        fields = [("Host", place.host), ("Via", f"1.1 {self.s.name}")]
+        dropped = NOT_FORWARDED | set(carried.headers.tokens("connection"))
+        fields += [(name, value) for name, value in carried.headers if name.lower() not in dropped]
+        partner = self.s.partners.get(carried.head.receiver)
+        if carried.head.notify and partner is not None and partner.receipts == "async":
+            attempt.token = secrets.token_urlsafe(18)
+            self.tokens[attempt.token] = carried, attempt
+            fields.append(("Receipt-Delivery-Option", f"http://{self.address}/receipt/{attempt.token}"))
+        return fields
+
+    def _answered(self, carried: Carried, attempt: Attempt, answer: client.Answer) -> None:
+        attempt.call = None
+        if carried.attempt is not attempt:
+            return
+        if answer.head is None:
+            self._outcome(carried, attempt, Seen(answer.sight), None)
+            return
+        status, headers = answer.head.status, answer.head.headers
+        if 200 <= status < 300 and attempt.token and not answer.body:
+            attempt.awaiting = True  # the receipt comes on a connection of its own (RFC 4130, 7.2.1)
+            return
+        receipt = Receipt.NOT_ASKED
+        if 200 <= status < 300:
+            receipt = self.receipts.judge(carried.head, carried.headers, carried.body, headers, answer.body)
+        self._outcome(carried, attempt, Seen(Sight.ANSWERED, status, retry_after(headers), receipt),
+                      Receipts.handed_on(status, headers, answer.body))
+
+    def _no_receipt(self, carried: Carried, attempt: Attempt) -> None:
+        if carried.attempt is attempt:
+            self._outcome(carried, attempt, Seen(Sight.TIMED_OUT), None)
+
+    def _receipt(self, exchange: server.Exchange) -> None:
+        """A receipt on its own: it counts for the attempt whose address it was sent to, while that is out."""
+        token = exchange.head.target.removeprefix("/receipt/")
+        carried, attempt = self.tokens.get(token, (None, None))
+        if exchange.head.method != "POST" or carried is None or attempt is None:
+            self.count("receipts_without_attempt")
+            self.log.warning(names.RECEIPT_ODD, why="late, repeated or unknown receipt address",
+                             sender=exchange.head.headers.get("as2-from")[:200])
+            # Still 200: it was read, and a partner that gets an error would only send it again.
+            exchange.reply(200)
+            return
+        got = exchange.head.headers
+        receipt = self.receipts.judge(carried.head, carried.headers, carried.body, got, exchange.body)
+        exchange.reply(200)
+        if receipt in (Receipt.UNPROVEN, Receipt.MISSING, Receipt.OTHER_MESSAGE):
+            # Forged or misdirected: the address may have leaked. The true receipt may still come.
+            self.count("receipts_not_counted")
+            self.log.warning(names.RECEIPT_ODD, message=carried.head.id, why=receipt.value)
+            return
+        self._outcome(carried, attempt, Seen(Sight.ANSWERED, 200, None, receipt),
+                      Receipts.handed_on(200, got, exchange.body))
+
+    def _outcome(self, carried: Carried, attempt: Attempt, seen: Seen, answer: Answer | None) -> None:
+        carried.attempt = None
+        self.tokens.pop(attempt.token, None)
+        if attempt.timer:
+            attempt.timer.cancel()
+        if attempt.call:  # its receipt came, or is not waited for, before its response did
+            attempt.call.forget() if seen.sight is Sight.ANSWERED else attempt.call.abort(seen.sight)
+        found = proof(seen)
+        took = self.now - attempt.began
+        self.count(f"outcome_{found.outcome.value}")
+        self.log.info(names.ENDED, message=carried.head.id, attempt=attempt.number, endpoint=attempt.endpoint,
+                      outcome=found.outcome.value, why=found.reason, took_ms=round(took, 1))
+        self._tell(api.AttemptEnded(carried.id, attempt.number, attempt.endpoint, found.outcome, took,
+                                    found.finished, found.wait_ms))
+        if found.finished and answer is not None:
+            rejected = seen.receipt is Receipt.NEGATIVE
+            kind = "rejected" if rejected else "delivered"
+            self._final(carried, Answer(200, answer.headers, answer.body, kind))
+
+    # -- answers ---------------------------------------------------------------------------------------------
+
+    def _final(self, carried: Carried, answer: Answer) -> None:
+        """The one final answer, on every connection that waits and to the receipt address."""
+        del self.carried[carried.id]
+        head = carried.head
+        if answer.kind == "refused":
+            self.identifiers.refused(head.sender, head.id)
+        else:
+            self.identifiers.close(self.now, head.sender, head.id, answer)
+        self.count(answer.kind)
+        self.log.info(names.ANSWERED, message=head.id, answer=answer.kind, attempts=carried.tries,
+                      left_ms=round(carried.due - self.now))
+        for exchange in carried.waiters:
+            self._reply(exchange, answer)
+        if head.reply_to:
+            self._hand_back(head, answer)
+        self._maybe_stopped()
+
+    def _reply(self, exchange: server.Exchange, answer: Answer) -> None:
+        fields = [*answer.headers, (ANSWER, answer.kind)] if answer.kind else answer.headers
+        exchange.reply(answer.status, fields, answer.body, close=self.stopping)
+
+    def _give(self, head: as2.Head, exchange: server.Exchange, answer: Answer) -> None:
+        if not head.reply_to:
+            self._reply(exchange, answer)
+            return
+        exchange.reply(202, [("Content-Type", "text/plain")], b"taken before; the receipt follows\n")
+        self._hand_back(head, answer)
+
+    def _hand_back(self, head: as2.Head, answer: Answer) -> None:
+        """Posts a final answer to the client's receipt address. A refusal has no body that AS2 knows: it goes as
+        a receipt of the relay's, with the advice beside it."""
+        if answer.kind == "refused":
+            own = self.receipts.own(head, answer.body.decode().strip())
+            advice = [(n, v) for n, v in answer.headers if n == "Retry-After"]
+            answer = Answer(200, (*own.headers, *advice), own.body, "refused")
+        parts = urllib.parse.urlsplit(head.reply_to)
+        target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
+        data = http1.request("POST", target, [("Host", parts.netloc), *answer.headers, (ANSWER, answer.kind)],
+                             answer.body)
+        self._post(split(parts.netloc), data, head.id, 0)
+
+    def _post(self, address: tuple[str, int], data: bytes, ident: str, tries: int) -> None:
+        def again() -> None:
+            self.handbacks.discard(planned[0])
+            self._post(address, data, ident, tries + 1)
+
+        def done(answer: client.Answer) -> None:
+            good = answer.head is not None and 200 <= answer.head.status < 300
+            pause = handback.next_try(tries + 1, good)
+            self.handbacks.discard(guard)
+            guard.cancel()
+            if pause is not None:
+                planned.append(self.loop.call_later(pause / 1000, again))
+                self.handbacks.add(planned[0])
+            elif not good:
+                self.count("handbacks_given_up")
+                self.log.warning(names.HANDBACK, message=ident, tries=tries + 1, why=answer.sight.value)
+            self._maybe_stopped()
+
+        planned: list[asyncio.TimerHandle] = []
+        until = self.loop.time() + handback.ANSWER_MS / 1000
+        guard = self.loop.call_at(until + 1.0, lambda: None)  # counts as work that a stop waits for
+        self.handbacks.add(guard)
+        self.pool.call(address, "POST", data, done, until)
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -41,10 +41,8 @@
                 self.seen[event.id] = Seen(event, now + event.left_ms)
             case api.EndpointList(kind, entries) if kind is not api.ListKind.FAILED:
                 named = {e.id for e in entries if e.listing is api.Listing.READY}
-                if kind is api.ListKind.CHANGES:
-                    gone = {e.id for e in entries} - named
-                else:
-                    gone = set(self.endpoints) - named
+                known = {e.id for e in entries} if kind is api.ListKind.CHANGES else set(self.endpoints)
+                gone = known - named
                 for entry in entries:
                     self.endpoints.setdefault(entry.id, entry)
                 for ident in gone:
--- /dev/null
+++ b/tests/codec/test_http1.py
@@ -0,0 +1,194 @@
+"""HTTP/1.1: tables of bytes, the same verdict for any split, and no exception but the protocol error."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from linnetstile.codec import http1
+
+LIMITS = http1.Limits(line=200, head=400, fields=8, body=1000, chunk_line=32)
+HOST = b"Host: a\r\n"
+
+
+def run(data: bytes, cuts: list[int] | None = None, client: bool = False,
+        methods: tuple[str, ...] = ()) -> tuple[list[http1.Event], int]:
+    """Events with neighbouring data joined, and the status of the error (0 = none)."""
+    parser = http1.Parser(client, LIMITS)
+    for method in methods:
+        parser.expect(method)
+    events: list[http1.Event] = []
+    edges = [0, *sorted(cuts or []), len(data)]
+    for start, end in zip(edges, edges[1:], strict=False):
+        try:
+            events += parser.feed(data[start:end])
+        except http1.ProtocolError:
+            break
+    joined: list[http1.Event] = []
+    for event in events:
+        if isinstance(event, http1.Data) and joined and isinstance(joined[-1], http1.Data):
+            joined[-1] = http1.Data(joined[-1].data + event.data)
+        else:
+            joined.append(event)
+    return joined, parser.failed.status if parser.failed else 0
+
+
+GOOD = [
+    (b"GET /x HTTP/1.1\r\n" + HOST + b"\r\n", b""),
+    (b"\r\nPOST / HTTP/1.1\r\n" + HOST + b"Content-Length: 3\r\n\r\nabc", b"abc"),
+    (b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0A\r\n0123456789\r\n0\r\n\r\n",
+     b"abc0123456789"),
+    (b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: Chunked\r\n\r\n0\r\nX: y\r\n\r\n", b""),
+    (b"POST / HTTP/1.0\r\nContent-Length: 1\r\n\r\nz", b"z"),
+    (b"OPTIONS * HTTP/1.1\r\nHOST:a\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", b""),
+]
+BAD = [
+    (400, HOST + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+    (400, HOST + b"Content-Length: 3\r\nContent-Length: 4\r\n"),
+    (400, HOST + b"Content-Length: 3, 3\r\n"),
+    (400, HOST + b"Content-Length: +3\r\n"),
+    (400, HOST + b"Content-Length: -1\r\n"),
+    (400, HOST + b"Content-Length: 0x3\r\n"),
+    (413, HOST + b"Content-Length: 1001\r\n"),
+    (413, HOST + b"Content-Length: 999999999999999999\r\n"),
+    (400, HOST + b"Content-Length: 99999999999999999999999\r\n"),
+    (501, HOST + b"Transfer-Encoding: gzip, chunked\r\n"),
+    (501, HOST + b"Transfer-Encoding: xchunked\r\n"),
+    (501, HOST + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"),
+    (400, HOST + b"X: a\r\n folded\r\n"),
+    (400, HOST + b"X : a\r\n"),
+    (400, HOST + b": a\r\n"),
+    (400, HOST + b"X\r\n"),
+    (400, HOST + b"X: a\rb\r\n"),
+    (400, HOST + b"X: a\n"),
+    (400, HOST + b"X: a\x00b\r\n"),
+    (400, b""),
+    (400, HOST + HOST),
+    (417, HOST + b"Expect: tea\r\n"),
+    (431, HOST + b"X: " + b"a" * 250 + b"\r\n"),
+    (431, HOST + b"X: y\r\n" * 9),
+    (431, HOST + (b"X: " + b"a" * 100 + b"\r\n") * 5),
+]
+FIRST = [
+    (400, b"GET  / HTTP/1.1"), (400, b"GET /"), (400, b"G(T / HTTP/1.1"), (400, b"GET /\x7f HTTP/1.1"),
+    (505, b"GET / HTTP/2.0"), (400, b"GET / http/1.1"), (400, b" GET / HTTP/1.1"), (400, b"GET / HTTP/1.1 "),
+    (431, b"GET /" + b"a" * 250 + b" HTTP/1.1"),
+]
+CHUNKS = [
+    (400, b"g\r\n"), (400, b"\r\n"), (400, b"-1\r\n"), (400, b"0x1\r\n"), (400, b"1 1\r\n"), (400, b"3\nabc\r\n"),
+    (400, b"3\r\nabcd\r\n"), (400, b"3\r\nabc\n"), (400, b"1;" + b"a" * 40 + b"\r\n"), (413, b"fffffff\r\n"),
+    (400, b"11111111111111111111\r\n"), (400, b"0\r\nX : y\r\n\r\n"), (400, b"0\r\nX: y\n\r\n"),
+]
+
+
+@pytest.mark.parametrize(("data", "body"), GOOD)
+def test_what_is_well_formed_is_read_the_same_for_any_split(data: bytes, body: bytes) -> None:
+    whole, status = run(data)
+    assert status == 0 and isinstance(whole[0], http1.Request) and isinstance(whole[-1], http1.End)
+    assert b"".join(event.data for event in whole if isinstance(event, http1.Data)) == body
+    assert run(data, list(range(len(data)))) == (whole, 0)
+
+
+@pytest.mark.parametrize(("status", "data"), [
+    *((status, b"POST / HTTP/1.1\r\n" + lines + b"\r\n") for status, lines in BAD),
+    *((status, first + b"\r\n" + HOST + b"\r\n") for status, first in FIRST),
+    *((status, b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n" + rest)
+      for status, rest in CHUNKS),
+])
+def test_what_is_ambiguous_or_too_large_is_refused_with_its_status(status: int, data: bytes) -> None:
+    assert run(data)[1] == status
+    assert run(data, list(range(len(data))))[1] == status
+
+
+def test_transfer_encoding_in_http_1_0_is_refused() -> None:
+    assert run(b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")[1] == 400
+
+
+def test_a_head_without_end_is_cut_off_at_its_limit() -> None:
+    parser = http1.Parser(limits=LIMITS)
+    with pytest.raises(http1.ProtocolError) as caught:
+        for _ in range(10_000):
+            parser.feed(b"GET /" + b"a" * 50)
+            assert parser.buffered <= LIMITS.head + 55
+    assert caught.value.status == 431 and parser.buffered == 0
+
+
+def test_pipelined_requests_come_out_in_order() -> None:
+    one = b"POST /%d HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\n\r\nx"
+    events, _ = run(b"".join(one % n for n in range(5)))
+    assert [event.target for event in events if isinstance(event, http1.Request)] == [f"/{n}" for n in range(5)]
+
+
+RESPONSES = [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "POST", 200, b"hi", True),
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "POST", 200, b"", True),
+    (b"HTTP/1.1 204 No Content\r\n\r\n", "POST", 204, b"", True),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", "HEAD", 200, b"", True),
+    (b"HTTP/1.1 503 \r\nContent-Length: 0\r\nConnection: close\r\n\r\n", "POST", 503, b"", False),
+    (b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n", "POST", 200, b"", False),
+    (b"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", "POST", 200, b"a", True),
+]
+
+
+@pytest.mark.parametrize(("data", "method", "status", "body", "keep"), RESPONSES)
+def test_responses(data: bytes, method: str, status: int, body: bytes, keep: bool) -> None:
+    for cuts in ([], list(range(len(data)))):
+        events, error = run(data, cuts, True, (method,))
+        head = events[0]
+        assert error == 0 and isinstance(head, http1.Response) and isinstance(events[-1], http1.End)
+        assert (head.status, head.keep_alive) == (status, keep)
+        assert b"".join(event.data for event in events if isinstance(event, http1.Data)) == body
+
+
+def test_a_response_without_a_length_lasts_until_the_end_of_the_stream() -> None:
+    parser = http1.Parser(True, LIMITS)
+    parser.expect("POST")
+    events = parser.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
+    assert isinstance(events[0], http1.Response) and not events[0].keep_alive
+    assert events[1:] == [http1.Data(b"abc")] and parser.eof() == [http1.End()]
+
+
+@pytest.mark.parametrize("data", [
+    b"HTTP/1.1 99 no\r\n\r\n", b"ICY 200 OK\r\n\r\n", b"HTTP/1.1 2000 OK\r\n\r\n", b"\x16\x03\x01\x02\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"])
+def test_what_is_no_response_is_an_error(data: bytes) -> None:
+    assert run(data, [], True, ("POST",))[1] == 400
+
+
+def test_an_answer_that_nobody_asked_for_is_an_error() -> None:
+    assert run(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", [], True)[1] == 400
+
+
+def test_an_end_inside_a_message_is_an_error() -> None:
+    parser = http1.Parser(True, LIMITS)
+    parser.expect("POST")
+    parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc")
+    with pytest.raises(http1.ProtocolError):
+        parser.eof()
+
+
+@pytest.mark.parametrize("field", [("X", "a\r\nY: b"), ("X\r\nY", "b"), ("X", "a\nb"), ("", "a")])
+def test_our_own_fields_can_not_split_a_message(field: tuple[str, str]) -> None:
+    with pytest.raises(ValueError):
+        http1.request("POST", "/", [field])
+
+
+@settings(max_examples=300)
+@given(st.sampled_from([*(data for data, _ in GOOD), *(
+    b"POST / HTTP/1.1\r\n" + lines + b"\r\n" for _, lines in BAD)]), st.data())
+def test_any_split_and_any_mutation_end_the_same_way(seed: bytes, data: st.DataObject) -> None:
+    raw = bytearray(seed * 2)
+    for _ in range(data.draw(st.integers(0, 4))):
+        at = data.draw(st.integers(0, len(raw) - 1))
+        how = data.draw(st.integers(0, 2))
+        if how == 0:
+            raw[at] = data.draw(st.integers(0, 255))
+        elif how == 1:
+            raw[at:at] = data.draw(st.binary(max_size=6))
+        else:
+            del raw[at: at + data.draw(st.integers(1, 5))]
+    whole = run(bytes(raw))
+    cuts = data.draw(st.lists(st.integers(0, len(raw)), max_size=8))
+    assert run(bytes(raw), cuts) == whole
+    assert run(bytes(raw), cuts, client=True, methods=("POST", "GET"))[1] in (0, 400, 413, 431, 501, 505)
