--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -28,7 +28,9 @@
 # Hop by hop (RFC 9110, 7.6.1) or ours to say; all else of the client's head goes on as it came.
 NOT_FORWARDED = {"host", "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
                  "upgrade", "content-length", "expect", "receipt-delivery-option", "via"}
-ANSWER = "Linnetstile-Answer"  # delivered, refused or failed: what kind of final answer this is
+# What kind of final answer this is: delivered, rejected (by the partner), refused, failed; or conflict, which is an
+# answer to the identifier and not to the message.
+ANSWER = "Linnetstile-Answer"
 
 
 @dataclass(slots=True, eq=False)
@@ -269,8 +271,8 @@
                                  + exchange.body, digest_size=16).digest()
         hand, known = self.identifiers.look(self.now, head.sender, head.id, digest)
         if hand is Hand.CONFLICT:
-            text = "refused: this Message-ID was handed in before with other content"
-            self._refuse(exchange, plain(409, text, "refused"), head.id)
+            text = "conflict: this Message-ID was handed in before with other content"
+            self._refuse(exchange, plain(409, text, "conflict"), head.id)
         elif hand is Hand.OPEN and known is not None and known.open is not None:
             self.log.info(names.REPEATED, message=head.id, open=True)
             self._join(known.open, exchange)
