--- a/linnetstile/config/files.py
+++ b/linnetstile/config/files.py
@@ -35,7 +35,8 @@
     lines = []
     for fault in error.errors(include_url=False):
         path = ".".join(str(step) for step in fault["loc"]) or "(whole file)"
-        given = "" if fault["type"] == "missing" else f" = {_value(fault['input'])}"
+        whole = fault["type"] == "missing" or isinstance(fault["input"], dict)
+        given = "" if whole else f" = {_value(fault['input'])}"
         expected = fault["msg"].removeprefix("Value error, ")
         lines.append(f"{file}: {path}{given}: {expected}")
     return lines
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -31,9 +31,11 @@
 class Rig:
     """`async with Rig(tmp_path, ...) as rig`; `seconds()` counts from the moment everything stands."""
 
-    def __init__(self, folder: Path, relays: int = 1, faults: list[dict[str, Any]] | None = None,
-                 partner: dict[str, Any] | None = None, endpoints: int = 1, classes: dict[str, Any] | None = None,
-                 limits: dict[str, Any] | None = None, register: dict[str, Any] | None = None, warm: bool = True) -> None:
+    def __init__(
+            self, folder: Path, relays: int = 1, faults: list[dict[str, Any]] | None = None,
+            partner: dict[str, Any] | None = None, endpoints: int = 1, classes: dict[str, Any] | None = None,
+            limits: dict[str, Any] | None = None, register: dict[str, Any] | None = None,
+            warm: bool = True) -> None:
         self.folder = folder
         self.keys = {name: cms.make_identity(name) for name in ("firma", "relay", "office")}
         for name, identity in self.keys.items():
@@ -55,7 +57,8 @@
 
     async def __aenter__(self) -> Rig:
         self.stand = Stand(PartnersSpec.model_validate({
-            "record": self.folder / "partners.jsonl", "t0_ms": now_ms() + 1e9, "partners": [self.partner], "faults": self.faults}))
+            "record": self.folder / "partners.jsonl", "t0_ms": now_ms() + 1e9, "partners": [self.partner],
+            "faults": self.faults}))
         self.ports = await self.stand.start()
         self.register = RegisterStand(RegisterSpec.model_validate({
             "lag_ms": 0, "record": self.folder / "register.jsonl", **self.register_spec,
--- a/tests/faults/test_outcomes.py
+++ b/tests/faults/test_outcomes.py
@@ -124,7 +124,8 @@
             assert (await first).body == during.body == after.body and kind(after) == "delivered"
             assert len(rig.rows("began")) == 1
             other = await rig.hand(rig.make("unsafe", b"other content", ident=made.head.id))
-            assert kind(other) == "conflict" and other.head is not None and other.head.status == 409 and b"other content" in other.body
+            assert other.head is not None and (kind(other), other.head.status) == ("conflict", 409)
+            assert b"other content" in other.body
         assert rig.broken() == []
     run(test)
 
