A keyed message that may have run is failed and no longer refused: it ran twice in the relay

The module took a key that all endpoints share for enough; a client may come back at any time, and to another relay. Such a message now ends as failed (_may_refuse). Weighed: remembering the risk with the identifier in the relay, which leaves the other relays blind; not taken.

Also: the client stand-in no longer hands one message to two relays at once; multiparts are split without compiling a pattern for each boundary; signed attributes are verified as sent.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -176,7 +176,8 @@
         settings = {
             "name": "r", "register": f"http://127.0.0.1:{await register.start()}",
             "classes": {"a": {"effect": "safe", "aim_ms": 5000, "deadline_ms": 20000}}, "rules": [{"class": "a"}],
-            "limits": {"slots": 4 * connections, "hold": 10_000}, "partners": {"p": {"certificate": str(folder / "p.pem")}}}
+            "limits": {"slots": 4 * connections, "hold": 10_000},
+            "partners": {"p": {"certificate": str(folder / "p.pem")}}}
         through, through_port = child("--serve-pass", str(sink_port))
         relay, relay_port = await asyncio.get_running_loop().run_in_executor(
             None, child, "--serve-relay", json.dumps(settings), profile if signed else "")
@@ -186,7 +187,8 @@
         alone = {name: await load(port, seconds / 2, 1, receipt)
                  for name, port in (("pass-through", through_port), ("relay", relay_port))}
         used = end(relay)
-        found["relay"]["cpu_us_a_message"] = round(1e6 * used / (found["relay"]["messages"] + alone["relay"]["messages"]))
+        done = found["relay"]["messages"] + alone["relay"]["messages"]
+        found["relay"]["cpu_us_a_message"] = round(1e6 * used / done)
         for each in (through, sink):
             end(each)
         register.close()
--- a/linnetstile/codec/cms.py
+++ b/linnetstile/codec/cms.py
@@ -132,7 +132,7 @@
                 raise CmsError("the content is not what was signed")
             if values["content_type"][0].native != info["content"]["encap_content_info"]["content_type"].native:
                 raise CmsError("the content type is not what was signed")
-            signed = attributes.untag().dump(force=True)
+            signed = b"\x31" + attributes.dump()[1:]  # as a SET OF, its own tag (RFC 5652, 5.4)
         key = certificate.public_key()
         kinds: Any = {"sha1": hashes.SHA1, "sha256": hashes.SHA256, "sha384": hashes.SHA384, "sha512": hashes.SHA512}
         chosen = kinds[algorithm]()
--- a/linnetstile/codec/mime.py
+++ b/linnetstile/codec/mime.py
@@ -92,21 +92,25 @@
     """The raw parts of a multipart body: the line end before a delimiter belongs to that (RFC 2046, 5.1.1)."""
     if not BOUNDARY.match(boundary):
         raise MimeError("no proper boundary")
-    mark = re.compile(rb"(?:\A|\r?\n)--" + re.escape(boundary.encode("latin-1")) + rb"(--)?[ \t]*(?:\r?\n|\Z)")
-    found: list[bytes] = []
-    start, at = -1, 0
-    while delimiter := mark.search(body, at):
+    # Found by plain search: a pattern for each boundary would be compiled anew for each message (1.3 ms of 4.7).
+    mark, found, start, at = b"--" + boundary.encode("latin-1"), list[bytes](), -1, 0
+    while (hit := body.find(mark, at)) >= 0:
+        at = hit + len(mark)
+        if hit and body[hit - 1] != 10:
+            continue  # not at the start of a line
+        last = body[at: at + 2] == b"--"
+        end = body.find(b"\n", at)
+        rest = body[at + 2 * last: end if end >= 0 else len(body)]
+        if rest.strip(b" \t\r") or (end < 0 and not last):
+            continue  # a longer boundary that begins like this one
         if start >= 0:
-            found.append(body[start: max(start, delimiter.start())])
-        if delimiter[1]:
+            stop = hit - (2 if body[hit - 2: hit] == b"\r\n" else 1)
+            found.append(body[start: max(start, stop)])
+        if last:
             return found
         if len(found) >= PARTS_MAX:
             raise MimeError(f"more than {PARTS_MAX} parts")
-        start = delimiter.end()
-        # The next delimiter may share the line end that closed this one.
-        at = start - (2 if body[start - 2: start] == b"\r\n" else 1)
-        if at <= delimiter.start():
-            at = start
+        start = at = end + 1
     raise MimeError("the last delimiter of a multipart is missing")
 
 
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -196,10 +196,9 @@
         return entry.id == held.risk.id or held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
 
     def _may_refuse(self, held: Held) -> bool:
-        """A refusal promises that coming again is harmless: after an unclear attempt, only by effect."""
-        if held.first_risk is None or held.cls.effect is Effect.SAFE:
-            return True
-        return held.cls.effect is Effect.KEYED and held.cls.key_scope is Scope.ALL
+        """A refusal promises that coming again is harmless: after an unclear attempt, only by effect. A key does
+        not help: nobody knows when a client comes back, or to which relay, and its window may have closed then."""
+        return held.first_risk is None or held.cls.effect is Effect.SAFE
 
     def _turn(self, held: Held) -> float:
         """When a message may go by the order of its key: the first of its key after the key's rest."""
--- a/linnetstile/lab/check.py
+++ b/linnetstile/lab/check.py
@@ -189,7 +189,7 @@
                     v.breach(f"{mid}: {relay} sent it again {attempt.t - before[0].t:.0f} ms after the first risk")
             # A refusal promises that coming again is harmless: only after attempts that are known not to have run.
             at = refused.get((mid, relay))
-            if at is not None and cls["effect"] == "unsafe" and any(other.t < at for other in risky):
+            if at is not None and any(other.t < at for other in risky):
                 v.breach(f"{mid}: {relay} refused it though it may have run")
 
     def _one_out(self, v: Verdict) -> None:
--- a/linnetstile/standins/client.py
+++ b/linnetstile/standins/client.py
@@ -117,6 +117,7 @@
     made: messages.Made
     first: float
     tries: int = 0
+    relay: int = -1  # where it was handed in last
     over: bool = False
 
 
@@ -172,12 +173,14 @@
 
     def _repeat(self, item: Open, relay: int) -> None:
         """The same message once more, while it may be open or after its end."""
-        if item.tries == 1:
+        # Only where it is: at two relays at once, an unsafe message would be the client's own second effect.
+        if item.tries == 1 and item.relay == relay:
             self._hand_in(item, relay, again=True)
 
     def _hand_in(self, item: Open, relay: int, again: bool = False) -> None:
         spec, plan = self.spec, item.plan
         item.tries += not again
+        item.relay = relay
         to = spec.relays[relay % len(spec.relays)]
         cls = spec.classes[plan.flow.cls]
         mark = f"{plan.number}.{item.tries}{'r' if again else ''}"
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -81,10 +81,7 @@
                 if seen.over:
                     raise Breach("lost: a second final answer")
                 effect = self.settings.classes[seen.msg.class_].effect
-                if isinstance(action, api.Refuse) and self.risks(seen) and (
-                        effect is api.Effect.UNSAFE
-                        or effect is api.Effect.KEYED
-                        and self.settings.classes[seen.msg.class_].key_scope is not api.Scope.ALL):
+                if isinstance(action, api.Refuse) and self.risks(seen) and effect is not api.Effect.SAFE:
                     raise Breach("twice: refused though it may have run")
                 seen.over = True
 
--- a/tests/codec/test_as2.py
+++ b/tests/codec/test_as2.py
@@ -141,10 +141,13 @@
     assert messages.check(made, Headers([("Content-Type", "text/plain")]), b"ok", None)[0] is Receipt.MISSING
 
 
+FIXED = receipt_of(mdn.Mdn("<1@a>", "b", mic=b"x" * 32, micalg="sha-256"), ALICE)
+
+
 @settings(max_examples=200)
 @given(st.data())
 def test_no_mutation_raises_anything_but_its_own_error(data: st.DataObject) -> None:
-    kind, body = receipt_of(mdn.Mdn("<1@a>", "b", mic=b"x" * 32, micalg="sha-256"), ALICE)
+    kind, body = FIXED
     raw = bytearray(body)
     for _ in range(data.draw(st.integers(1, 6))):
         at = data.draw(st.integers(0, len(raw) - 1))
--- a/tests/faults/test_outcomes.py
+++ b/tests/faults/test_outcomes.py
@@ -74,8 +74,7 @@
         async with Rig(tmp_path, faults=[fault("answer_lost")]) as rig:
             answer = await rig.hand(rig.make("keyed"))
             began = [row["t"] for row in rig.rows("began")]
-            # Its scope is the whole partner, so a repeat by the client is dropped as well: refused, not failed.
-            assert kind(answer) in ("failed", "refused") and began[-1] - began[0] < 4000 + 25
+            assert kind(answer) == "failed" and began[-1] - began[0] < 4000 + 25
             assert len(rig.rows("effect")) == 1
         assert rig.broken() == []
     run(test)
@@ -158,6 +157,20 @@
     run(test)
 
 
+def test_a_keyed_message_that_may_have_run_is_not_refused(tmp_path: Path) -> None:
+    """Found by the day of every trouble: refused after an unclear attempt, it came again 8 s later and ran twice."""
+    async def test() -> None:
+        classes = {"keyed": {"effect": "keyed", "aim_ms": 500, "deadline_ms": 2000, "key_window_ms": 900}}
+        async with Rig(tmp_path, classes=classes, partner={"key_window_ms": 900},
+                       faults=[fault("answer_lost", for_s=2.2)]) as rig:
+            made = rig.make("keyed")
+            assert kind(await rig.hand(made)) == "failed"
+            await rig.until(3.0)
+            assert kind(await rig.hand(made)) == "failed" and len(rig.rows("effect")) == 1
+        assert rig.broken() == []
+    run(test)
+
+
 @pytest.mark.parametrize(("change", "status", "text"), [
     ({"to": "nobody"}, 404, b"no partner nobody is listed"), ({"cls": "other"}, 403, b"no rule takes"),
 ])
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -390,7 +390,7 @@
     ident = d.message(KEYED)
     d.pass_time(2980)  # the window is 3 s
     acts = d.answer(ident, api.Outcome.RESET)
-    assert ended_with(acts, ident) is api.Refuse
+    assert ended_with(acts, ident) is api.Fail  # not refused: it may have run, and may come again too late
 
 
 def test_a_key_that_only_its_endpoint_knows_ends_with_that_endpoint() -> None:
