--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -196,8 +196,8 @@
         return entry.id == held.risk.id or held.cls.key_scope is Scope.ZONE and entry.zone == held.risk.zone
 
     def _may_refuse(self, held: Held) -> bool:
-        """A refusal promises that coming again is harmless: after an unclear attempt, only by effect. A key does
-        not help: nobody knows when a client comes back, or to which relay, and its window may have closed then."""
+        """A refusal promises that coming again is harmless: after an unclear attempt, only by effect. A key
+        is not enough: a client may come back once its window has closed, and to any relay."""
         return held.first_risk is None or held.cls.effect is Effect.SAFE
 
     def _turn(self, held: Held) -> float:
