A log that can't be written costs no answer; faults of the loop and last reasons are told

Used at night: with standard error on a full disk a log line raised inside the delivery of an answer; with 40 descriptors and 100 clients the only sign was a plain line of asyncio's. Log writes no longer raise, what the event loop reports becomes a fault event, a failure names what its last attempt proved, and a stop no longer reports its own register watch as failed.

--- a/linnetstile/service/process.py
+++ b/linnetstile/service/process.py
@@ -24,6 +24,9 @@
         print(f"linnetstile relay: can't start: {error}", file=sys.stderr)
         return 3
     loop = asyncio.get_running_loop()
+    # What no caller sees: a listener without descriptors (asyncio pauses it for a second), a fault in a callback.
+    loop.set_exception_handler(lambda _, told: log.error(
+        names.FAULT, why=told.get("message", ""), error=repr(told.get("exception"))))
 
     def stop() -> None:
         if service.stopping:
--- a/linnetstile/service/register.py
+++ b/linnetstile/service/register.py
@@ -68,7 +68,7 @@
         self.places: dict[int, Place] = {}
         self.partners: dict[str, int] = {}  # numbers are never given anew: messages may still name them
         self.version = -1
-        self.busy = False
+        self.busy = self.closed = False
         self.lists = {"whole": 0, "changes": 0, "failed": 0}
 
     def ask(self) -> None:
@@ -94,6 +94,8 @@
 
     def _failed(self, why: str) -> None:
         self.busy = False
+        if self.closed:
+            return
         self.lists["failed"] += 1
         self.log.warning("register", result="failed", why=why, version=self.version)
         self.tell(api.EndpointList(api.ListKind.FAILED))
@@ -145,4 +147,5 @@
         self._get(target, WATCH_MS / 1000 + 5.0, self._changes)
 
     def close(self) -> None:
+        self.closed = True
         self.pool.close()
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -57,7 +57,7 @@
     waiters: list[server.Exchange] = field(default_factory=list)
     tries: int = 0
     attempt: Attempt | None = None
-    delivered: Answer | None = None
+    last: str = ""  # what the latest attempt proved, for people
 
 
 def retry_after(headers: http1.Headers) -> float | None:
@@ -208,7 +208,7 @@
     def _why(carried: Carried) -> str:
         if not carried.tries:
             return "no room, or no way to deliver it in time"
-        return f"{carried.tries} attempt{'s' * (carried.tries > 1)} without an answer that holds"
+        return f"{carried.tries} attempt{'s' * (carried.tries > 1)}, the last one: {carried.last}"
 
     def _listed(self, event: api.EndpointList) -> None:
         self._tell(event)
@@ -393,6 +393,7 @@
         if attempt.call:  # its receipt came, or is not waited for, before its response did
             attempt.call.forget() if seen.sight is Sight.ANSWERED else attempt.call.abort(seen.sight)
         found = proof(seen)
+        carried.last = found.reason
         took = self.now - attempt.began
         self.count(f"outcome_{found.outcome.value}")
         self.log.info(names.ENDED, message=carried.head.id, attempt=attempt.number, endpoint=attempt.endpoint,
--- a/linnetstile/telemetry/log.py
+++ b/linnetstile/telemetry/log.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from typing import Any
+from typing import Any, TextIO, cast
 
 STARTED, STOPPING, STOPPED = "started", "stopping", "stopped"
 TAKEN, REFUSED_AT_DOOR, REPEATED = "taken", "refused_at_door", "handed_in_again"
@@ -13,6 +13,26 @@
 UNFINISHED, FAULT = "unfinished_at_stop", "fault"
 
 
+class Unfailing:
+    """Standard error whose faults are counted and not raised: guards messages against a full disk or a closed pipe
+    behind the log, where a line that can't be written would cost a final answer."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self.stream = stream
+        self.lost = 0
+
+    def write(self, text: str) -> int:
+        try:
+            self.stream.write(text)
+            self.stream.flush()
+        except (OSError, ValueError):
+            self.lost += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Each write has been flushed."""
+
+
 def logger(level: str = "info", **bound: Any) -> Any:
     """A logger that writes to standard error; `bound` goes into each line."""
     import structlog
@@ -21,5 +41,6 @@
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper("iso", utc=True),
                     structlog.processors.format_exc_info, structlog.processors.JSONRenderer(sort_keys=False)],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr), cache_logger_on_first_use=True)
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, Unfailing(sys.stderr))),
+        cache_logger_on_first_use=True)
     return structlog.get_logger().bind(**bound)
--- a/tests/faults/test_outcomes.py
+++ b/tests/faults/test_outcomes.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from linnetstile.codec import http1, mdn
+from linnetstile.codec import cms, http1, mdn
 from linnetstile.codec.http1 import Headers
 from linnetstile.config.relay import split
 from linnetstile.decisions.evidence import Receipt
@@ -46,12 +46,30 @@
     run(test)
 
 
+@pytest.mark.parametrize("sign", [False, True])
+@pytest.mark.parametrize("compress", [False, True])
+def test_an_encrypted_message_passes_closed_and_its_receipt_is_the_clients_to_compare(
+        tmp_path: Path, sign: bool, compress: bool) -> None:
+    async def test() -> None:
+        opener = cms.make_identity("firma-open", rsa=True)
+        (tmp_path / "open.pem").write_bytes(cms.save(opener))
+        async with Rig(tmp_path, partner={"decrypt_pem": tmp_path / "open.pem"}) as rig:
+            made = rig.make("unsafe", encrypt_to=opener.certificate, compress=compress,
+                            sign_by=rig.keys["office"] if sign else None)
+            answer = await rig.hand(made)
+            assert kind(answer) == "delivered" and answer.head is not None
+            found = messages.check(made, answer.head.headers, answer.body, rig.keys["firma"].certificate)
+            assert found[0] is Receipt.POSITIVE and found[1] is not None and found[1].mic
+        assert rig.broken() == []
+    run(test)
+
+
 @pytest.mark.parametrize("what", ["hang", "no_receipt", "wrong_mic", "forged_receipt", "reset", "answer_lost"])
 def test_an_unsafe_message_whose_outcome_is_open_is_never_sent_again(tmp_path: Path, what: str) -> None:
     async def test() -> None:
         async with Rig(tmp_path, faults=[fault(what)]) as rig:
             answer = await rig.hand(rig.make("unsafe"))
-            assert kind(answer) == "failed" and answer.head is not None
+            assert kind(answer) == "failed" and answer.head is not None and b"1 attempt, the last one" in answer.body
             found = messages.check(rig.make("unsafe", ident="<x@office>"), answer.head.headers, answer.body, None)[1]
             assert found is not None and found.kind == "failed" and "may or may not" in found.text
             assert len(rig.rows("began")) == 1 and len(rig.rows("effect")) <= 1
