--- a/linnetstile/codec/mime.py
+++ b/linnetstile/codec/mime.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import functools
 import quopri
 import re
 import secrets
@@ -29,6 +30,7 @@
     params: dict[str, str]
 
 
+@functools.lru_cache(maxsize=512)  # most messages of a client have the same one
 def content_type(text: str) -> ContentType:
     name = text.split(";", 1)[0].strip().lower()
     rest, at, params = text[len(text.split(";", 1)[0]):], 0, dict[str, str]()
