--- /dev/null
+++ b/benchmarks/cold_start.py
@@ -0,0 +1,72 @@
+"""What learning is worth: fresh relays beside a partner that comes back cold while nobody can see it.
+
+    python -m benchmarks.cold_start [--fresh 6] [--seconds 20] [--json FILE]
+
+Two old relays met a partner's outage of 6 s. As it returns cold, fresh relays start: once knowing nothing, once
+learning from the old ones. The stand-in counts the calls that it gets while it is cold, against its budget (what
+makes it fall over). Both runs have the same messages, one after the other, in this process. Bounded.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import json
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from tests.faults.rig import SAFETY, Rig, kind
+
+RATE, PER_S, OUT_S = 30.0, 25.0, 6.0
+
+
+async def measure(fresh: int, seconds: float, learning: bool) -> dict[str, Any]:
+    folder = Path(tempfile.mkdtemp(prefix="linnetstile-cold-"))
+    (folder / "token").write_text("secret")
+    know = {"token_file": folder / "token"}
+    faults = [{"kind": "fast_errors", "at_s": 0, "for_s": OUT_S, "partners": ["firma"]}]
+    partner = {"rate": RATE, "cold_ms": SAFETY["cold_ms"]}
+    async with Rig(folder, relays=2, fleet=2 + fresh, faults=faults, partner=partner, knowledge=know) as rig:
+        before = asyncio.create_task(rig.load("safe", 10, OUT_S - 1.0, 2))
+        await rig.until(OUT_S - 0.8)
+        for _ in range(fresh):
+            peers = [service.address for service in rig.services[:2]]
+            await rig.relay(knowledge=know | ({"peers": peers} if learning else {}))
+        await rig.until(OUT_S)
+        tasks = [before]
+        start = rig.seconds()
+        answers = []
+        for n in range(int(PER_S * seconds)):
+            await rig.until(start + n / PER_S)
+            answers.append(asyncio.create_task(rig.hand(rig.make("safe"), n % (2 + fresh))))
+        got = collections.Counter(map(kind, await asyncio.gather(*answers)))
+        await asyncio.gather(*tasks)
+        back = rig.stand.t0 + OUT_S * 1000
+        calls = [row["t"] - back for row in rig.rows("began") if row["t"] >= back]
+        cold = [at for at in calls if at < SAFETY["cold_ms"]]
+        worst = max((sum(at <= other < at + SAFETY["fall_ms"] for other in calls) for at in cold), default=0)
+        fell = bool(rig.rows("fallen"))
+        taken = sum(service.knowledge.counts["taken"] for service in rig.services)
+    budget = SAFETY["fall_multiple"] * SAFETY["cold_share"] * RATE * SAFETY["fall_ms"] / 1000
+    return {"learning": learning, "calls_in_first_s": sum(at < 1000 for at in calls), "calls_while_cold": len(cold),
+            "most_in_fall_window": worst, "budget_at_return": round(budget, 1), "pushed_over": fell,
+            "lessons_taken": taken, "answers": dict(got)}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--fresh", type=int, default=6)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--json")
+    args = parser.parse_args()
+    results = [asyncio.run(measure(args.fresh, args.seconds, learning)) for learning in (False, True)]
+    text = json.dumps(results, indent=1)
+    print(text)
+    if args.json:
+        Path(args.json).write_text(text + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/linnetstile/config/relay.py
+++ b/linnetstile/config/relay.py
@@ -134,6 +134,16 @@
     pem: Path | None = None  # key and certificate, for the relay's own receipts
 
 
+class KnowledgeSettings(Strict):
+    """Learning from other relays and from before a restart; nothing of it happens unless it is set."""
+
+    token_file: Path | None = None  # what relays show each other; without it nobody is told anything
+    peers: list[Address] = Field([], max_length=1000)
+    address: Address | None = None  # how peers reach this relay, if not as it listens
+    snapshot: Path | None = None
+    snapshot_every_ms: Annotated[float, Field(ge=200, le=600_000)] = 2000.0
+
+
 class RelaySettings(Strict):
     """The whole file."""
 
@@ -157,6 +167,7 @@
     receipts_sha1: bool = False  # read signatures over SHA-1, for partners that can do no better
     safety: SafetySettings = SafetySettings()
     goal: GoalSettings = GoalSettings()
+    knowledge: KnowledgeSettings = KnowledgeSettings()
     seed: int = 0
 
     @model_validator(mode="after")
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -8,8 +8,9 @@
 import random
 
 from .interface import (
-    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
-    Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Listing, ListKind,
+    Message, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, Shared, TimerFired, WatchList,
+    Withdrawn,
 )
 from .state import NEVER, Board, Call, Door, Flow, Held, Lane
 
@@ -85,6 +86,12 @@
                     self._listed(now_ms, event)
                 case Withdrawn():
                     self._withdraw(event.id)
+                case Learned():
+                    self._learn(now_ms, event)
+                case Shared():
+                    for dest, route in event.lanes:
+                        if lane := self.lanes.get(dest, {}).get(route):
+                            lane.told_on += 1
                 case TimerFired():
                     self.timer_at = 0.0
         if self.ask_at is not None and now_ms >= self.ask_at:
@@ -291,7 +298,7 @@
         pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
         held.ready = now + pause
         if event.wait_ms > 0:  # binds whichever message of a call was told it, the others' answers or not
-            self._told(now, door.lane, held, event.wait_ms)
+            self._told(now, door.lane, held.msg.destination, held.ready + event.wait_ms)
         if counts and event.outcome is Outcome.OK:
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
@@ -311,6 +318,8 @@
         self.flow.add(now, FADE_MS)
         lane.flow.add(now, FADE_MS)
         self.usual = averaged(*self.usual, took, 0.05)
+        if lane.hearsay:  # own evidence wins: what others said bars nothing any more, but it may be cold
+            lane.hearsay, lane.blame, lane.failed_at = False, 0.0, NEVER
         lane.answers += 1
         lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
         lane.last_ok, lane.stretch, lane.hold, lane.blame = now, 1.0, lane.hold / 2, lane.blame * (1 - BLAME)
@@ -330,15 +339,18 @@
         lane.knowers = self._knowers(now, lane)
         lane.sick, lane.cold_since, lane.credit, lane.bad_since = False, now, 0.0, None
 
-    def _told(self, now: float, lane: Lane, held: Held, wait_ms: float) -> None:
+    def _told(self, now: float, lane: Lane, dest: int, until: float) -> None:
         """A wait was told, to many relays at once: the growing, jittered pause comes after it."""
-        lane.wait_until = max(lane.wait_until, held.ready + wait_ms)
-        for other in self.board.queues.get(held.msg.destination, {}).values():
+        lane.wait_until = max(lane.wait_until, until)
+        for other in self.board.queues.get(dest, {}).values():
             if self._last(other) == NEVER:  # the wait outlasts it
                 heapq.heappush(self.ends, (now, other.msg.id))
 
     def _failed(self, now: float, door: Door, held: Held, event: AttemptEnded) -> None:
         lane, shut = door.lane, event.wait_ms > SHUT_MS
+        if lane.bad_since is None:  # another outage: nobody was told of it
+            lane.told_on = 0.0
+        lane.hearsay = False
         lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
         lane.no_effect, lane.missed = event.outcome.proves_no_effect, event.outcome is Outcome.CONNECT_FAILED
         if event.outcome is Outcome.FULL:
@@ -377,6 +389,30 @@
             if change < 1 or lane.credit < 1:
                 lane.pace = min(limit, max(lane.pace * change, part / 3))
 
+    def _learn(self, now: float, event: Learned) -> None:
+        """Guards partners from relays that start anew: cautions where no own evidence is, as that wins."""
+        for fact in event.facts:
+            lane = self.lanes.get(fact.destination, {}).get(fact.route)
+            if lane is None:
+                continue
+            if fact.wait_ms > 0:
+                self._told(now, lane, fact.destination, now + fact.wait_ms)
+            if fact.answers and not lane.answers:
+                lane.mean, lane.dev, lane.answers = fact.mean_ms, fact.dev_ms, fact.answers
+            if lane.last_ok > NEVER or lane.failed_at > NEVER and not lane.hearsay:
+                continue
+            if fact.out_ms is not None:
+                if not lane.sick:  # a turn by chance, as many may learn it at once
+                    lane.bad_since, lane.told_on = now - fact.out_ms, fact.knowers
+                    lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.random()
+                # Half a failure's evidence: unsafe messages wait half as long, and one answer clears it.
+                lane.sick, lane.hearsay, lane.failed_at = True, True, now - FADE_MS / 2
+                lane.blame = SICK + 0.05
+            elif fact.cold_ms is not None and fact.cold_ms < self.s.safety.cold_ms:
+                lane.told_on = fact.knowers
+                self._cold(now, lane)
+                lane.cold_since, lane.hearsay, lane.blame = now - fact.cold_ms, True, 0.0
+
     # -- pace, health and return -------------------------------------------------------------------------
 
     def _gauge(self, now: float, lane: Lane) -> None:
@@ -392,7 +428,7 @@
         """How many relays may have met the outage: no more than there are, nor than calls it failed."""
         since = now if lane.bad_since is None else lane.bad_since
         since = max(min(since, lane.last_ok), since - FADE_MS)  # it may have begun at the last answer
-        return min(float(self.s.relays), 1 + MET * lane.total * (now - since) / 1000)
+        return min(float(self.s.relays), 1 + MET * lane.total * (now - since) / 1000 + lane.told_on)
 
     def _pace(self, now: float, lane: Lane, out: bool) -> tuple[float, float]:
         """Calls a second and in one go: the learned pace; for a destination that is out or cold, this relay's
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -236,7 +236,36 @@
     token: int
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired]
+@dataclass(frozen=True, slots=True)
+class LaneFacts:
+    """What is known of a destination (or route: its endpoint's id, else -1) that this relay has not called itself."""
+
+    destination: int
+    route: int = -1
+    out_ms: float | None = None  # since when it is out
+    cold_ms: float | None = None  # since when it is back
+    wait_ms: float = 0.0  # left of a told wait
+    mean_ms: float = 0.0
+    dev_ms: float = 0.0
+    answers: int = 0  # the latency counts as after so many; 0 = not known
+    knowers: float = 1.0  # relays that may know of the outage
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """From other relays or from before a restart, already weighed (knowledge.py)."""
+
+    facts: tuple[LaneFacts, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """Another relay was told what this one knows of these (destination, route): it is a knower of their outages."""
+
+    lanes: tuple[tuple[int, int], ...]
+
+
+Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Learned, Shared]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -108,6 +108,8 @@
     bad_since: float | None = None  # send of the first call that failed since the last answer
     cold_since: float = NEVER
     knowers: float = 1.0  # relays that may know of the latest outage
+    told_on: float = 0.0  # relays that this one told of it, or that were told before it
+    hearsay: bool = False  # out or cold by what others say, until it is called
     next_trickle: float = 0.0
 
 
--- /dev/null
+++ b/linnetstile/service/knowledge.py
@@ -0,0 +1,311 @@
+"""The document of what a relay knows, its endpoint, the asks for it, and its snapshot on disk.
+
+What is believed is decided in `decisions/knowledge.py`, whom to ask in `decisions/membership.py`."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import json
+import urllib.parse
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, Field, ValidationError
+
+from ..codec import http1
+from ..config.relay import Address, KnowledgeSettings, split
+from ..decisions import interface as api
+from ..decisions import recall
+from ..decisions.control import Relay
+from ..decisions.knowledge import Claim, Doubt, Source, lessons
+from ..decisions.membership import TOLD_MAX, Membership
+from ..net import client, server
+from ..store import snapshot
+
+FORMAT = 1
+ASK_S = 1.0  # a peer that takes longer has not answered: its ages could not be trusted, and traffic must not wait
+BODY_MAX = 4 * 1024 * 1024
+CLAIMS_MAX = 20_000
+FRESH_MS = 2000.0  # a claim counts as changed when its latest evidence moved by this much
+LESSONS_KEPT = 200  # shown to operators
+
+
+class ClaimModel(BaseModel):
+    """A claim as it travels; ages in ms."""
+
+    partner: str = Field(min_length=1, max_length=128)
+    route: int = Field(ge=-1, le=2**31)
+    endpoints: list[int] = Field(max_length=64)
+    answered_age: float | None = Field(None, ge=0, le=1e12)
+    failed_age: float | None = Field(None, ge=0, le=1e12)
+    out_age: float | None = Field(None, ge=0, le=1e12)
+    cold_age: float | None = Field(None, ge=0, le=1e12)
+    wait_ms: float = Field(0.0, ge=0, le=1e9)
+    mean_ms: float = Field(0.0, ge=0, le=1e6)
+    dev_ms: float = Field(0.0, ge=0, le=1e6)
+    answers: int = Field(0, ge=0)
+    knowers: float = Field(1.0, ge=0, le=1e6)
+
+    def claim(self) -> Claim:
+        values = self.model_dump()
+        return Claim(**{**values, "endpoints": tuple(values["endpoints"])})
+
+
+class Document(BaseModel):
+    """What one relay knows. `since` = 0: all of it; else what changed after that version."""
+
+    format: int
+    relay: str = Field(min_length=1, max_length=64)
+    run: str = Field(min_length=1, max_length=64)
+    version: int = Field(ge=0)
+    since: int = Field(ge=0)
+    relays: int = Field(ge=1, le=1_000_000)
+    peers: list[Address] = Field(max_length=TOLD_MAX)
+    claims: list[ClaimModel] = Field(max_length=CLAIMS_MAX)
+
+
+def parse(data: bytes | str | dict[str, Any]) -> Document:
+    """Raises ValueError with one line that says what is wrong."""
+    try:
+        raw = data if isinstance(data, dict) else json.loads(data)
+        if isinstance(raw, dict) and raw.get("format") != FORMAT:
+            raise ValueError(f"format {raw.get('format')!r}, expected {FORMAT}: another version of the program")
+        return Document.model_validate(raw)
+    except ValidationError as error:
+        fault = error.errors(include_url=False)[0]
+        raise ValueError(f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}") from error
+    except (RecursionError, UnicodeDecodeError, json.JSONDecodeError) as error:
+        raise ValueError("not JSON") from error
+
+
+class Knowledge:
+    """One relay's part in it."""
+
+    def __init__(self, settings: KnowledgeSettings, relay: Relay, name: str, run: str, names: dict[str, int],
+                 tell: Callable[[api.Event], None], log: Any) -> None:
+        self.s = settings
+        self.relay = relay
+        self.name = name
+        self.run = run
+        self.numbers = names  # partner -> number, kept by the register's client
+        self.tell = tell
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.token = settings.token_file.read_text(encoding="utf-8").strip() if settings.token_file else ""
+        self.members: Membership | None = None
+        self.pool = client.Pool(connect_s=0.5, limits=http1.Limits(body=BODY_MAX))
+        self.version = 0
+        self.changed: dict[tuple[str, int], tuple[tuple[Any, ...], int]] = {}
+        self.peers_version: dict[str, int] = {}
+        self.heard: dict[str, tuple[float, dict[tuple[str, int], Claim]]] = {}  # peer -> when, claims then
+        self.before: tuple[float, tuple[Claim, ...]] | None = None  # own snapshot: when read, claims then
+        self.taken: list[dict[str, Any]] = []
+        self.doubts: dict[Doubt, int] = {}
+        self.counts = {"asked": 0, "answered": 0, "no_answer": 0, "unreadable": 0, "handed_out": 0, "denied": 0,
+                       "taken": 0, "doubted": 0, "snapshots": 0, "snapshots_failed": 0}
+        self.timers: list[asyncio.TimerHandle] = []
+        self.writing = False
+
+    @property
+    def now(self) -> float:
+        return self.loop.time() * 1000
+
+    def start(self, address: str) -> None:
+        """Reads the snapshot, then asks peers and writes snapshots from time to time."""
+        if self.s.snapshot:
+            self._read()
+            self.timers.append(self.loop.call_later(self.s.snapshot_every_ms / 1000, self._write))
+        self.members = Membership(self.s.address or address, list(self.s.peers), self.now, hash(self.run) & 0xFFFF)
+        if self.s.peers:
+            self._ask()
+
+    def close(self) -> None:
+        for timer in self.timers:
+            timer.cancel()
+        self.pool.close()
+
+    # -- handing out -----------------------------------------------------------------------------------------
+
+    def names(self) -> dict[int, str]:
+        return {number: name for name, number in self.numbers.items()}
+
+    def document(self, since: int = 0) -> dict[str, Any]:
+        """What this relay knows itself, as it travels."""
+        found = recall.claims(self.relay, self.now, self.names())
+        for each in found:
+            lane = each.partner, each.route
+            ok = -1 if each.answered_age is None else int((self.now - each.answered_age) / FRESH_MS)
+            bad = -1 if each.failed_age is None else int((self.now - each.failed_age) / FRESH_MS)
+            mark = (each.endpoints, each.out_age is None, each.cold_age is None, each.wait_ms > 0, ok, bad)
+            if self.changed.get(lane, ((), 0))[0] != mark:
+                self.version += 1
+                self.changed[lane] = mark, self.version
+        sent = [each for each in found if self.changed[each.partner, each.route][1] > since]
+        return {"format": FORMAT, "relay": self.name, "run": self.run, "version": self.version, "since": since,
+                "relays": self.relay.s.relays, "peers": (self.members.alive() if self.members else [])[:TOLD_MAX],
+                "claims": [{name: getattr(each, name) for name in Claim.__slots__} for each in sent]}
+
+    def serve(self, exchange: server.Exchange) -> None:
+        """GET /knowledge?since=V with the token as bearer."""
+        given = exchange.head.headers.get("authorization").removeprefix("Bearer ")
+        if not self.token or not hmac.compare_digest(given.encode(), self.token.encode()):
+            self.counts["denied"] += 1
+            exchange.reply(403 if self.token else 404, [("Content-Type", "text/plain")], b"not for you\n")
+            return
+        query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(exchange.head.target).query))
+        run, _, version = query.get("since", "").rpartition(".")
+        since = int(version) if run == self.run and version.isdigit() and len(version) < 16 else 0
+        found = self.document(since)
+        self.counts["handed_out"] += 1
+        if query.get("look") != "1":  # another relay now knows of these outages; an operator's look is no relay
+            told = tuple((self.numbers[each["partner"]], each["route"]) for each in found["claims"]
+                         if each["out_age"] is not None or each["cold_age"] is not None)
+            if told:
+                self.tell(api.Shared(told))
+        exchange.reply(200, [("Content-Type", "application/json")], json.dumps(found).encode())
+
+    # -- asking ----------------------------------------------------------------------------------------------
+
+    def _ask(self) -> None:
+        assert self.members is not None
+        peer = self.members.due(self.now)
+        if peer is not None:
+            self.counts["asked"] += 1
+            since = self.peers_version.get(peer, 0)
+            run = self.members.peers[peer].run
+            target = "/knowledge" + (f"?since={run}.{since}" if since else "")
+            data = http1.request("GET", target, [("Host", peer), ("Authorization", f"Bearer {self.token}"),
+                                                 ("Via", f"1.1 {self.name}")])
+            asked = self.now
+            self.pool.call(split(peer), "GET", data, lambda answer: self._answered(peer, asked, answer),
+                           self.loop.time() + ASK_S)
+        self.timers = [timer for timer in self.timers if timer.when() > self.loop.time()]
+        self.timers.append(self.loop.call_later(0.05 if self.members.fresh else 0.5, self._ask))
+
+    def _answered(self, peer: str, asked: float, answer: client.Answer) -> None:
+        assert self.members is not None
+        if answer.head is None or answer.head.status != 200:
+            self.counts["no_answer"] += 1
+            self.members.missed(self.now, peer)
+            why = answer.sight.value if answer.head is None else str(answer.head.status)
+            self.log.info("knowledge_no_answer", peer=peer, why=why, standing=self._standing(peer))
+            return
+        try:
+            found = parse(answer.body)
+        except ValueError as error:
+            self.counts["unreadable"] += 1
+            self.members.missed(self.now, peer)
+            self.log.warning("knowledge_unreadable", peer=peer, why=str(error))
+            return
+        self.counts["answered"] += 1
+        another = self.members.heard(self.now, peer, found.run, found.peers)
+        _, known = self.heard.get(peer, (0.0, {}))
+        if another or not found.since:
+            known = {}
+        # Its ages were true when it wrote them: at the latest since the ask, so the whole way counts as age.
+        way = self.now - asked
+        known = {lane: claim.older(self.now - self.heard[peer][0]) for lane, claim in known.items()}
+        known |= {(c.partner, c.route): c.claim().older(way) for c in found.claims}
+        self.heard[peer] = self.now, known
+        self.peers_version[peer] = found.version
+        if found.relays != self.relay.s.relays:
+            self.log.warning("knowledge_other_fleet", peer=peer, its=found.relays, own=self.relay.s.relays,
+                             taken="the own number for limits, the larger for what may be known of an outage")
+        self.learn()
+
+    def _standing(self, peer: str) -> str:
+        found = self.members.peers.get(peer) if self.members else None
+        return found.standing.value if found else "left"
+
+    def learn(self) -> None:
+        """Weighs all sources anew and tells the module what there is to take. Called with each answer and list."""
+        now = self.now
+        sources = [Source(peer, False, tuple(claim.older(now - at) for claim in known.values()))
+                   for peer, (at, known) in self.heard.items()]
+        if self.before:
+            at, claims = self.before
+            sources.append(Source("snapshot", True, tuple(claim.older(now - at) for claim in claims)))
+        ends, seen = recall.lanes(self.relay, self.names())
+        if not ends or not sources:
+            return
+        found, doubts = lessons(sources, ends, seen, self.relay.s.relays)
+        for doubt in doubts:
+            if doubt not in self.doubts and len(self.doubts) < LESSONS_KEPT:
+                self.counts["doubted"] += 1
+                self.log.info("knowledge_doubted", source=doubt.source, partner=doubt.partner, why=doubt.reason)
+            self.doubts[doubt] = self.doubts.get(doubt, 0) + 1
+        if not found:
+            return
+        facts = tuple(api.LaneFacts(self.numbers[each.partner], each.route, each.out_ms, each.cold_ms, each.wait_ms,
+                                    each.mean_ms, each.dev_ms, each.answers, each.knowers) for each in found)
+        cautions = [each for each in found if each.out_ms is not None or each.cold_ms is not None or each.wait_ms]
+        self.counts["taken"] += len(found)
+        if cautions:
+            self.log.info("knowledge_taken", sources=[source.name for source in sources], lanes=len(found), cautions=[
+                {"partner": c.partner, "route": c.route, "out_ms": c.out_ms, "cold_ms": c.cold_ms, "wait_ms": c.wait_ms}
+                for c in cautions[:20]])
+        self.taken = [{name: getattr(each, name) for name in each.__slots__} for each in found[:LESSONS_KEPT]]
+        self.tell(api.Learned(facts))
+
+    # -- on disk ---------------------------------------------------------------------------------------------
+
+    def _read(self) -> None:
+        path = self.s.snapshot
+        assert path is not None
+        try:
+            payload, age = snapshot.read(path)
+            found = parse(payload)
+        except FileNotFoundError:
+            return
+        except (snapshot.SnapshotError, ValueError) as error:
+            aside = snapshot.set_aside(path)
+            self.log.warning("knowledge_snapshot_unusable", why=str(error), kept_as=str(aside))
+            return
+        if age is None:
+            self.log.warning("knowledge_snapshot_ageless", file=str(path), why="the clock has gone back: not taken")
+            return
+        self.before = self.now, tuple(claim.claim().older(age) for claim in found.claims)
+        self.log.info("knowledge_snapshot_read", file=str(path), age_ms=round(age), claims=len(found.claims))
+
+    def _write(self) -> None:
+        """In a thread, one at a time: a slow disk holds up no message."""
+        self.timers.append(self.loop.call_later(self.s.snapshot_every_ms / 1000, self._write))
+        if self.writing:
+            return
+        self.writing = True
+        assert self.s.snapshot is not None
+        job = self.loop.run_in_executor(None, snapshot.write, self.s.snapshot, self.document())
+        job.add_done_callback(self._written)
+
+    def _written(self, job: asyncio.Future[None]) -> None:
+        self.writing = False
+        if job.cancelled():
+            return
+        if error := job.exception():
+            self.counts["snapshots_failed"] += 1
+            if self.counts["snapshots_failed"] in (1, 10, 100, 1000):
+                self.log.error("knowledge_snapshot_failed", file=str(self.s.snapshot), why=str(error))
+        else:
+            self.counts["snapshots"] += 1
+
+    def state(self) -> dict[str, Any]:
+        """For operators: members, what was taken and doubted."""
+        now, members = self.now, self.members.peers.values() if self.members else []
+        return {"run": self.run, "counts": self.counts, "taken": self.taken,
+                "doubted": [{"source": d.source, "partner": d.partner, "why": d.reason, "times": n}
+                            for d, n in list(self.doubts.items())[:LESSONS_KEPT]],
+                "peers": [{"address": p.address, "standing": p.standing.value, "fails": p.fails,
+                           "heard_ms_ago": round(now - p.heard_at) if p.run else None} for p in members]}
+
+
+def load(path: Path) -> Document:
+    """A document or a snapshot from a file; raises ValueError."""
+    data = path.read_bytes()
+    if data.startswith(b'{"linnetstile"'):
+        try:
+            return parse(snapshot.read(path)[0])
+        except snapshot.SnapshotError as error:
+            raise ValueError(str(error)) from error
+    return parse(data)
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -22,6 +22,7 @@
 from ..decisions.routing import Router
 from ..net import client, server
 from ..telemetry import log as names
+from .knowledge import Knowledge
 from .receipts import Answer, Receipts
 from .register import Place, Register
 
@@ -109,11 +110,14 @@
         self.stopped = asyncio.Event()
         self.address = ""
         self.handbacks: set[asyncio.TimerHandle] = set()
+        self.knowledge = Knowledge(settings.knowledge, self.relay, settings.name, secrets.token_hex(6),
+                                   self.register.partners, self._tell, log)
 
     async def start(self) -> str:
         """Listens and asks for the list; returns the address."""
         host, port = split(self.s.listen)
         self.address = f"{host}:{await self.server.start(host, port)}"
+        self.knowledge.start(self.address)
         self._plan()
         return self.address
 
@@ -147,6 +151,7 @@
         self.server.close()
         self.pool.close()
         self.register.close()
+        self.knowledge.close()
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -172,6 +177,8 @@
         events, self.events = self.events, []
         for action in self.relay.handle(self.now, events):
             self._act(action)
+        if any(isinstance(event, api.EndpointList) and event.entries for event in events):
+            self.knowledge.learn()  # lanes that came with this list may be known to others
 
     def _act(self, action: api.Action) -> None:
         match action:
@@ -225,7 +232,9 @@
         """Before the body is read: what can be refused by its head alone."""
         if exchange.head.target.startswith("/receipt/"):
             return
-        if exchange.head.method != "POST":
+        if exchange.head.target.partition("?")[0] == "/knowledge" and exchange.head.method == "GET":
+            self.knowledge.serve(exchange)
+        elif exchange.head.method != "POST":
             answer = self._status(exchange.head) or plain(405, "messages are handed in by POST", "")
             exchange.reply(answer.status, answer.headers, answer.body)
         elif self.stopping:
--- /dev/null
+++ b/linnetstile/store/__init__.py
@@ -0,0 +1,1 @@
+"""Floor 2: files that outlive the process."""
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -35,7 +35,9 @@
             self, folder: Path, relays: int = 1, faults: list[dict[str, Any]] | None = None,
             partner: dict[str, Any] | None = None, endpoints: int = 1, classes: dict[str, Any] | None = None,
             limits: dict[str, Any] | None = None, register: dict[str, Any] | None = None,
-            warm: bool = True) -> None:
+            warm: bool = True, knowledge: dict[str, Any] | None = None, fleet: int = 0) -> None:
+        self.knowledge = knowledge
+        self.fleet = fleet or relays  # how many the relays are told there are
         self.folder = folder
         self.keys = {name: cms.make_identity(name) for name in ("firma", "relay", "office")}
         for name, identity in self.keys.items():
@@ -66,7 +68,7 @@
         await self.register.start()
         self.pool = client.Pool()
         for _ in range(self.relays):
-            await self.relay()
+            await self.relay(knowledge=self.knowledge)
         for n in range(6 * self.relays * self.warm):
             assert kind(await self.hand(self.make("safe"), n % self.relays)) == "delivered"
         # The script's clock starts once everything stands, and the relays know the usual pace.
@@ -80,15 +82,16 @@
 
     def settings(self, name: str, **more: Any) -> RelaySettings:
         return RelaySettings.model_validate({
-            "name": name, "register": f"http://127.0.0.1:{self.register.port}", "relays": self.relays,
+            "name": name, "register": f"http://127.0.0.1:{self.register.port}", "relays": self.fleet,
             "identity": {"pem": self.folder / "relay.pem"}, "classes": self.classes, "safety": SAFETY,
             "rules": [{"class": name, "subject": name} for name in self.classes], "limits": self.limits,
             "partners": {"firma": {"certificate": self.folder / "firma.pem",
                                    "receipts": self.partner.get("receipts", "sync")}}, **more})
 
-    async def relay(self, wait: bool = True) -> Service:
+    async def relay(self, wait: bool = True, knowledge: dict[str, Any] | None = None) -> Service:
         name = f"r{len(self.services) + 1}"
-        service = Service(self.settings(name), logger("error"), seed=len(self.services))
+        more = {"knowledge": knowledge} if knowledge else {}
+        service = Service(self.settings(name, **more), logger("error"), seed=len(self.services))
         await service.start()
         self.services.append(service)
         self.lives[name] = [[now_ms(), None, ""]]
