Learned paces and few connections; pages of what relays tell each other; one call for tools

The document lacked what refusals had taught and which kinds take few connections. Both travel now, each taken from the peer in the middle and only where this relay has no evidence of its own.

--- a/linnetstile/cli/knowledge.py
+++ b/linnetstile/cli/knowledge.py
@@ -31,16 +31,8 @@
         die(2, f"{address}: {error}")
     token = token_file.read_text(encoding="utf-8").strip() if token_file else ""
 
-    async def run() -> client.Answer:
-        done: asyncio.Future[client.Answer] = asyncio.get_running_loop().create_future()
-        pool = client.Pool(limits=http1.Limits(body=BODY_MAX))
-        data = http1.request("GET", "/knowledge?look=1", [("Host", address), ("Authorization", f"Bearer {token}")])
-        pool.call(split(address), "GET", data, done.set_result, asyncio.get_running_loop().time() + 5)
-        answer = await done
-        pool.close()
-        return answer
-
-    answer = asyncio.run(run())
+    data = http1.request("GET", "/knowledge?look=1", [("Host", address), ("Authorization", f"Bearer {token}")])
+    answer = asyncio.run(client.once(split(address), "GET", data, 5.0, http1.Limits(body=BODY_MAX)))
     if answer.head is None:
         die(3, f"{address}: no answer: {answer.sight.value}")
     if answer.head.status != 200:
--- a/linnetstile/cli/send.py
+++ b/linnetstile/cli/send.py
@@ -53,15 +53,7 @@
     except (as2.As2Error, ValueError) as error:
         die(2, f"linnetstile send: {error}")
 
-    async def run() -> client.Answer:
-        answered: asyncio.Future[client.Answer] = asyncio.get_running_loop().create_future()
-        pool = client.Pool()
-        pool.call(split(address), "POST", data, answered.set_result, asyncio.get_running_loop().time() + patience)
-        answer = await answered
-        pool.close()
-        return answer
-
-    answer = asyncio.run(run())
+    answer = asyncio.run(client.once(split(address), "POST", data, patience))
     if answer.head is None:
         die(3, f"{ident}: no answer: {answer.sight.value}")
     kind = answer.head.headers.get("linnetstile-answer") or "answered"
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -391,6 +391,8 @@
 
     def _learn(self, now: float, event: Learned) -> None:
         """Guards partners from relays that start anew: cautions where no own evidence is, as that wins."""
+        for kind, part in event.few:
+            self.blocked.setdefault(kind, part)
         for fact in event.facts:
             lane = self.lanes.get(fact.destination, {}).get(fact.route)
             if lane is None:
@@ -399,6 +401,8 @@
                 self._told(now, lane, fact.destination, now + fact.wait_ms)
             if fact.answers and not lane.answers:
                 lane.mean, lane.dev, lane.answers = fact.mean_ms, fact.dev_ms, fact.answers
+            if 0 < fact.pace < lane.pace and lane.last_ok == NEVER and not lane.hold:  # a limit others met
+                lane.pace, lane.free_at = fact.pace, now + HOLD_MS * self.rng.uniform(0.5, 1.5)
             if lane.last_ok > NEVER or lane.failed_at > NEVER and not lane.hearsay:
                 continue
             if fact.out_ms is not None:
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -249,6 +249,7 @@
     dev_ms: float = 0.0
     answers: int = 0  # the latency counts as after so many; 0 = not known
     knowers: float = 1.0  # relays that may know of the outage
+    pace: float = 0.0  # calls a second that a relay was held to by refusals; 0 = none were
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,6 +257,7 @@
     """From other relays or from before a restart, already weighed (knowledge.py)."""
 
     facts: tuple[LaneFacts, ...]
+    few: tuple[tuple[int, float], ...] = ()  # kind -> part of its answers that followed a missed connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/decisions/knowledge.py
+++ b/linnetstile/decisions/knowledge.py
@@ -48,6 +48,7 @@
     dev_ms: float = 0.0
     answers: int = 0
     knowers: float = 1.0  # relays that may know of the outage, those told included
+    pace: float = 0.0  # calls a second that refusals hold it to now; 0 = none do
 
     @property
     def seen_age(self) -> float:
@@ -85,6 +86,7 @@
     dev_ms: float = 0.0
     answers: int = 0
     knowers: float = 1.0
+    pace: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +112,7 @@
 
 def sane(claim: Claim) -> bool:
     ages = (claim.answered_age, claim.failed_age, claim.out_age, claim.cold_age)
-    figures = [*(age for age in ages if age is not None), claim.wait_ms, claim.dev_ms, claim.knowers]
+    figures = [*(age for age in ages if age is not None), claim.wait_ms, claim.dev_ms, claim.knowers, claim.pace]
     return all(0 <= figure < float("inf") for figure in figures) and 0 <= claim.mean_ms <= LATENCY_MS[1]
 
 
@@ -190,7 +192,19 @@
     if since is not None and back is not None and all(back < age for age in outs):
         since = None
     return Lesson(*lane, since, back if since is None else None, max(waits), mean, dev, answers,
-                  float(relays) if outs or colds else 1.0)
+                  float(relays) if outs or colds else 1.0,
+                  middle([claim.pace for _, claim in claims if claim.pace > 0 and weight(claim.seen_age) >= LEAST]))
+
+
+def middle(values: list[float]) -> float:
+    """The lower one in the middle, 0 of none: among three, one that is wrong, however far, decides nothing."""
+    return sorted(values)[(len(values) - 1) // 2] if values else 0.0
+
+
+def few_connections(peers: list[dict[str, float]]) -> dict[str, float]:
+    """By kind: the part of answers that followed a missed connection, the middle of those who know the kind."""
+    kinds = {kind for peer in peers for kind in peer}
+    return {kind: middle([peer[kind] for peer in peers if 0 <= peer.get(kind, -1.0) <= 1]) for kind in sorted(kinds)}
 
 
 def latency(claims: list[tuple[Source, Claim]]) -> tuple[float, float, int]:
--- a/linnetstile/decisions/recall.py
+++ b/linnetstile/decisions/recall.py
@@ -23,7 +23,14 @@
         partner, route, tuple(sorted(lane.doors)), _age(now, lane.last_ok), _age(now, lane.failed_at),
         _age(now, lane.bad_since) if lane.sick and lane.bad_since is not None else None,
         back if cold and not lane.sick else None, max(0.0, lane.wait_until - now) if lane.wait_until > now else 0.0,
-        lane.mean, lane.dev, lane.answers, relay._knowers(now, lane) if lane.sick else lane.knowers)
+        lane.mean, lane.dev, lane.answers, relay._knowers(now, lane) if lane.sick else lane.knowers,
+        lane.pace if now < lane.free_at else 0.0)
+
+
+def few(relay: Relay) -> dict[str, float]:
+    """By name of the kind: part of its late answers that followed a missed connection."""
+    kinds = relay.s.kinds
+    return {kinds[kind].name: part for kind, part in sorted(relay.blocked.items()) if kind < len(kinds)}
 
 
 def claims(relay: Relay, now: float, names: Mapping[int, str]) -> list[Claim]:
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -206,3 +206,15 @@
         self._sweeper.cancel()
         for conn in list(self.open):
             conn.transport.abort()
+
+
+async def once(address: Address, method: str, data: bytes, seconds: float,
+               limits: http1.Limits | None = None) -> Answer:
+    """One call on a connection of its own, for tools."""
+    answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    pool = Pool(limits=limits)
+    try:
+        pool.call(address, method, data, answered.set_result, asyncio.get_running_loop().time() + seconds)
+        return await answered
+    finally:
+        pool.close()
--- a/linnetstile/service/knowledge.py
+++ b/linnetstile/service/knowledge.py
@@ -10,7 +10,7 @@
 import urllib.parse
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 from pydantic import BaseModel, Field, ValidationError
 
@@ -19,7 +19,7 @@
 from ..decisions import interface as api
 from ..decisions import recall
 from ..decisions.control import Relay
-from ..decisions.knowledge import Claim, Doubt, Source, lessons
+from ..decisions.knowledge import Claim, Doubt, Source, few_connections, lessons
 from ..decisions.membership import TOLD_MAX, Membership
 from ..net import client, server
 from ..store import snapshot
@@ -47,6 +47,7 @@
     dev_ms: float = Field(0.0, ge=0, le=1e6)
     answers: int = Field(0, ge=0)
     knowers: float = Field(1.0, ge=0, le=1e6)
+    pace: float = Field(0.0, ge=0, le=1e9)
 
     def claim(self) -> Claim:
         values = self.model_dump()
@@ -64,6 +65,7 @@
     relays: int = Field(ge=1, le=1_000_000)
     peers: list[Address] = Field(max_length=TOLD_MAX)
     claims: list[ClaimModel] = Field(max_length=CLAIMS_MAX)
+    few_connections: dict[str, Annotated[float, Field(ge=0, le=1)]] = Field({}, max_length=1000)
 
 
 def parse(data: bytes | str | dict[str, Any]) -> Document:
@@ -100,6 +102,7 @@
         self.changed: dict[tuple[str, int], tuple[tuple[Any, ...], int]] = {}
         self.peers_version: dict[str, int] = {}
         self.heard: dict[str, tuple[float, dict[tuple[str, int], Claim]]] = {}  # peer -> when, claims then
+        self.few: dict[str, dict[str, float]] = {}
         self.before: tuple[float, tuple[Claim, ...]] | None = None  # own snapshot: when read, claims then
         self.taken: list[dict[str, Any]] = []
         self.doubts: dict[Doubt, int] = {}
@@ -143,8 +146,9 @@
                 self.version += 1
                 self.changed[lane] = mark, self.version
         sent = [each for each in found if self.changed[each.partner, each.route][1] > since]
+        peers = (self.members.alive() if self.members else [])[:TOLD_MAX]
         return {"format": FORMAT, "relay": self.name, "run": self.run, "version": self.version, "since": since,
-                "relays": self.relay.s.relays, "peers": (self.members.alive() if self.members else [])[:TOLD_MAX],
+                "relays": self.relay.s.relays, "peers": peers, "few_connections": recall.few(self.relay),
                 "claims": [{name: getattr(each, name) for name in Claim.__slots__} for each in sent]}
 
     def serve(self, exchange: server.Exchange) -> None:
@@ -209,6 +213,7 @@
         known = {lane: claim.older(self.now - self.heard[peer][0]) for lane, claim in known.items()}
         known |= {(c.partner, c.route): c.claim().older(way) for c in found.claims}
         self.heard[peer] = self.now, known
+        self.few[peer] = found.few_connections
         self.peers_version[peer] = found.version
         if found.relays != self.relay.s.relays:
             self.log.warning("knowledge_other_fleet", peer=peer, its=found.relays, own=self.relay.s.relays,
@@ -236,10 +241,14 @@
                 self.counts["doubted"] += 1
                 self.log.info("knowledge_doubted", source=doubt.source, partner=doubt.partner, why=doubt.reason)
             self.doubts[doubt] = self.doubts.get(doubt, 0) + 1
-        if not found:
+        kinds = [kind.name for kind in self.relay.s.kinds]
+        few = few_connections([self.few[name] for name in sorted(self.few)])
+        known = tuple((kinds.index(kind), part) for kind, part in few.items() if kind in kinds)
+        if not found and not known:
             return
         facts = tuple(api.LaneFacts(self.numbers[each.partner], each.route, each.out_ms, each.cold_ms, each.wait_ms,
-                                    each.mean_ms, each.dev_ms, each.answers, each.knowers) for each in found)
+                                    each.mean_ms, each.dev_ms, each.answers, each.knowers, each.pace)
+                      for each in found)
         cautions = [each for each in found if each.out_ms is not None or each.cold_ms is not None or each.wait_ms]
         self.counts["taken"] += len(found)
         if cautions:
@@ -247,7 +256,7 @@
                 {"partner": c.partner, "route": c.route, "out_ms": c.out_ms, "cold_ms": c.cold_ms, "wait_ms": c.wait_ms}
                 for c in cautions[:20]])
         self.taken = [{name: getattr(each, name) for name in each.__slots__} for each in found[:LESSONS_KEPT]]
-        self.tell(api.Learned(facts))
+        self.tell(api.Learned(facts, known))
 
     # -- on disk ---------------------------------------------------------------------------------------------
 
@@ -266,6 +275,7 @@
         if age is None:
             self.log.warning("knowledge_snapshot_ageless", file=str(path), why="the clock has gone back: not taken")
             return
+        self.few["snapshot"] = found.few_connections
         self.before = self.now, tuple(claim.claim().older(age) for claim in found.claims)
         self.log.info("knowledge_snapshot_read", file=str(path), age_ms=round(age), claims=len(found.claims))
 
