--- a/linnetstile/cli/knowledge.py
+++ b/linnetstile/cli/knowledge.py
@@ -18,12 +18,12 @@
     """What a relay knows of its partners: look at it, compare two, keep it, give it to another."""
 
 
-def fetch(address: str, token_file: Path | None) -> Any:
-    """The document of a running relay."""
+def fetch(address: str, token_file: Path | None, target: str = "/knowledge?look=1") -> bytes:
+    """The body that a running relay answers."""
     from ..codec import http1
     from ..config.relay import loopback, split
     from ..net import client
-    from ..service.knowledge import BODY_MAX, parse
+    from ..service.knowledge import BODY_MAX
 
     try:
         loopback(address)
@@ -31,27 +31,22 @@
         die(2, f"{address}: {error}")
     token = token_file.read_text(encoding="utf-8").strip() if token_file else ""
 
-    data = http1.request("GET", "/knowledge?look=1", [("Host", address), ("Authorization", f"Bearer {token}")])
+    data = http1.request("GET", target, [("Host", address), ("Authorization", f"Bearer {token}")])
     answer = asyncio.run(client.once(split(address), "GET", data, 5.0, http1.Limits(body=BODY_MAX)))
     if answer.head is None:
         die(3, f"{address}: no answer: {answer.sight.value}")
     if answer.head.status != 200:
         why = {403: "the token is not the relay's", 404: "the relay has no knowledge.token_file"}
         die(1, f"{address}: {answer.head.status}: {why.get(answer.head.status, 'no document')}")
-    try:
-        return parse(answer.body)
-    except ValueError as error:
-        die(1, f"{address}: {error}")
+    return answer.body
 
 
 def source(text: str, token_file: Path | None) -> Any:
     """A file, or a relay's address."""
-    from ..service.knowledge import load
+    from ..service.knowledge import load, parse
 
-    if not Path(text).exists():
-        return fetch(text, token_file)
     try:
-        return load(Path(text))
+        return load(Path(text)) if Path(text).exists() else parse(fetch(text, token_file))
     except ValueError as error:
         die(2, f"{text}: {error}")
 
@@ -92,6 +87,14 @@
         click.echo(row(claim))
 
 
+@command.command()
+@click.argument("relay")
+@TOKEN
+def learned(relay: str, token_file: Path | None) -> None:
+    """What RELAY (an address) took from others: of whom, how old, and what it doubted and why. JSON."""
+    click.echo(json.dumps(json.loads(fetch(relay, token_file, "/knowledge/state")), indent=1))
+
+
 @command.command()
 @click.argument("one")
 @click.argument("other")
--- a/linnetstile/decisions/knowledge.py
+++ b/linnetstile/decisions/knowledge.py
@@ -87,6 +87,8 @@
     answers: int = 0
     knowers: float = 1.0
     pace: float = 0.0
+    sources: tuple[str, ...] = ()  # who spoke of this lane, for people
+    age_ms: float = 0.0  # of the youngest of it
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +163,8 @@
     for lane, claims in sorted(by_lane.items()):
         lesson = merged(lane, claims, alarmists, relays, doubts)
         if lesson != Lesson(*lane):
-            found.append(lesson)
+            ages = [claim.seen_age for _, claim in claims]
+            found.append(replace(lesson, sources=tuple(source.name for source, _ in claims), age_ms=min(ages)))
     return found, doubts
 
 
--- a/linnetstile/lab/day.py
+++ b/linnetstile/lab/day.py
@@ -71,6 +71,7 @@
     attempts: int = Field(6, ge=1)
     register_lag_ms: float = Field(1000.0, ge=0)
     decay: Literal["line", "halves"] = "halves"
+    learning: bool = False  # restarted relays learn from the others and from their own snapshot
     classes: dict[str, DayClass] = Field(min_length=1)
     partners: list[DayPartners] = Field(min_length=1)
     traffic: Traffic
--- a/linnetstile/lab/play.py
+++ b/linnetstile/lab/play.py
@@ -138,7 +138,23 @@
             "partners": {p["name"]: {"certificate": self._pem(p["name"]), "receipts": p["group"].receipts}
                          for p in self.partners},
             "limits": {"slots": day.slots, "hold": day.hold, "attempts": day.attempts},
-            "decay": day.decay, "safety": day.safety.model_dump()})
+            "decay": day.decay, "safety": day.safety.model_dump(), **self._knowledge(name, [])})
+
+    def _knowledge(self, name: str, peers: list[str]) -> dict[str, Any]:
+        if not self.day.learning:
+            return {}
+        token = self.folder / "keys" / "token"
+        token.write_text(f"{self.day.name}-{self.t0}", encoding="utf-8")
+        return {"knowledge": {"token_file": str(token), "snapshot": str(self.folder / f"{name}.know"),
+                              "snapshot_every_ms": 1000, "peers": peers}}
+
+    def _introduce(self, relays: list[Process]) -> None:
+        """Once all addresses are known, they are in each relay's file: one that is started again has peers to ask."""
+        for relay in relays:
+            path = self.folder / f"{relay.name}.yaml"
+            data = yaml.safe_load(path.read_text(encoding="utf-8"))
+            others = [other.ready["listening"] for other in relays if other is not relay]
+            self._write(path.name, data | self._knowledge(relay.name, others))
 
     def _client_file(self, relays: list[Process]) -> Path:
         day, traffic = self.day, self.day.traffic
@@ -239,6 +255,7 @@
             url = f"http://127.0.0.1:{register.ready['port']}"
             made = await asyncio.gather(*(self._relay(n + 1, url) for n in range(self.day.relays)))
             relays = {n + 1: process for n, process in enumerate(made)}
+            self._introduce(list(made))
             if now_ms() > self.t0:
                 raise PlayError("the processes took too long to start; fewer relays, or a less busy machine")
             clients = await self._start("clients", "standin", "client", str(self._client_file(list(made))))
--- a/linnetstile/service/knowledge.py
+++ b/linnetstile/service/knowledge.py
@@ -104,7 +104,7 @@
         self.heard: dict[str, tuple[float, dict[tuple[str, int], Claim]]] = {}  # peer -> when, claims then
         self.few: dict[str, dict[str, float]] = {}
         self.before: tuple[float, tuple[Claim, ...]] | None = None  # own snapshot: when read, claims then
-        self.taken: list[dict[str, Any]] = []
+        self.taken: dict[tuple[str, int], dict[str, Any]] = {}  # the latest of each lane
         self.doubts: dict[Doubt, int] = {}
         self.counts = {"asked": 0, "answered": 0, "no_answer": 0, "unreadable": 0, "handed_out": 0, "denied": 0,
                        "taken": 0, "doubted": 0, "snapshots": 0, "snapshots_failed": 0}
@@ -152,12 +152,15 @@
                 "claims": [{name: getattr(each, name) for name in Claim.__slots__} for each in sent]}
 
     def serve(self, exchange: server.Exchange) -> None:
-        """GET /knowledge?since=V with the token as bearer."""
+        """GET /knowledge?since=V with the token as bearer; /knowledge/state is for operators."""
         given = exchange.head.headers.get("authorization").removeprefix("Bearer ")
         if not self.token or not hmac.compare_digest(given.encode(), self.token.encode()):
             self.counts["denied"] += 1
             exchange.reply(403 if self.token else 404, [("Content-Type", "text/plain")], b"not for you\n")
             return
+        if exchange.head.target.partition("?")[0] == "/knowledge/state":
+            exchange.reply(200, [("Content-Type", "application/json")], json.dumps(self.state()).encode())
+            return
         query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(exchange.head.target).query))
         run, _, version = query.get("since", "").rpartition(".")
         since = int(version) if run == self.run and version.isdigit() and len(version) < 16 else 0
@@ -253,9 +256,13 @@
         self.counts["taken"] += len(found)
         if cautions:
             self.log.info("knowledge_taken", sources=[source.name for source in sources], lanes=len(found), cautions=[
-                {"partner": c.partner, "route": c.route, "out_ms": c.out_ms, "cold_ms": c.cold_ms, "wait_ms": c.wait_ms}
+                {"partner": c.partner, "route": c.route, "out_ms": c.out_ms, "cold_ms": c.cold_ms, "wait_ms": c.wait_ms,
+                 "sources": c.sources, "age_ms": round(c.age_ms) if c.age_ms < 1e12 else None}
                 for c in cautions[:20]])
-        self.taken = [{name: getattr(each, name) for name in each.__slots__} for each in found[:LESSONS_KEPT]]
+        for each in found:
+            if len(self.taken) < LESSONS_KEPT or (each.partner, each.route) in self.taken:
+                row = {name: getattr(each, name) for name in each.__slots__}
+                self.taken[each.partner, each.route] = row | {"age_ms": min(each.age_ms, 1e12), "taken_at": now}
         self.tell(api.Learned(facts, known))
 
     # -- on disk ---------------------------------------------------------------------------------------------
@@ -303,7 +310,8 @@
     def state(self) -> dict[str, Any]:
         """For operators: members, what was taken and doubted."""
         now, members = self.now, self.members.peers.values() if self.members else []
-        return {"run": self.run, "counts": self.counts, "taken": self.taken,
+        taken = [{**row, "taken_ms_ago": round(now - row["taken_at"])} for row in self.taken.values()]
+        return {"run": self.run, "counts": self.counts, "taken": taken,
                 "doubted": [{"source": d.source, "partner": d.partner, "why": d.reason, "times": n}
                             for d, n in list(self.doubts.items())[:LESSONS_KEPT]],
                 "peers": [{"address": p.address, "standing": p.standing.value, "fails": p.fails,
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -232,7 +232,8 @@
         """Before the body is read: what can be refused by its head alone."""
         if exchange.head.target.startswith("/receipt/"):
             return
-        if exchange.head.target.partition("?")[0] == "/knowledge" and exchange.head.method == "GET":
+        path = exchange.head.target.partition("?")[0]
+        if path in ("/knowledge", "/knowledge/state") and exchange.head.method == "GET":
             self.knowledge.serve(exchange)
         elif exchange.head.method != "POST":
             answer = self._status(exchange.head) or plain(405, "messages are handed in by POST", "")
--- a/tests/faults/test_knowledge.py
+++ b/tests/faults/test_knowledge.py
@@ -71,7 +71,7 @@
             await asked(fresh)
             await asyncio.sleep(0.05)
             lane = fresh.relay.lanes[0][-1]
-            assert lane.sick and lane.hearsay and fresh.knowledge.taken[0]["out_ms"] > 1000
+            assert lane.sick and lane.hearsay and fresh.knowledge.taken["firma", -1]["out_ms"] > 1000
             assert old.relay.lanes[0][-1].told_on >= 1  # it is a knower now, and the old one counts it
             assert fresh.knowledge.document()["claims"] == []  # nothing of its own to tell
             began = len(rig.rows("began"))
@@ -238,6 +238,42 @@
     run(test)
 
 
+def test_operators_see_what_was_taken_of_whom_and_what_was_doubted(tmp_path: Path) -> None:
+    async def test() -> None:
+        listener, address = await peer(says(document(
+            claim(out_age=8_000), claim(partner="other"), relays=9)))
+        async with Rig(tmp_path, warm=False) as rig:
+            fresh = await rig.relay(knowledge=with_token(tmp_path) | {"peers": [address]})
+            await asked(fresh)
+            done = await asyncio.to_thread(
+                subprocess.run, [sys.executable, "-m", "linnetstile.cli.main", "knowledge", "learned", fresh.address,
+                                 "--token-file", str(tmp_path / "token")], capture_output=True, text=True, timeout=30)
+            told = json.loads(done.stdout)
+            assert {row["why"] for row in told["doubted"]} >= {"no such partner or route now"}
+            assert told["peers"][0]["standing"] == "alive" and told["counts"]["answered"] == 1
+        listener.close()
+    run(test)
+
+
+def test_a_partner_replaced_since_and_a_claim_of_an_hour_ago_are_not_believed(tmp_path: Path) -> None:
+    async def test() -> None:
+        listener, address = await peer(says(document(claim(endpoints=[77], out_age=5000))))
+        old, old_address = await peer(says(document(claim(failed_age=3_600_000, out_age=3_600_500,
+                                                          answered_age=3_700_000))))
+        async with Rig(tmp_path, warm=False) as rig:
+            fresh = await rig.relay(knowledge={"peers": [address, old_address]})
+            await asked(fresh, 2)
+            await asyncio.sleep(0.05)
+            assert not fresh.relay.lanes[0][-1].sick
+            reasons = {doubt.reason for doubt in fresh.knowledge.doubts}
+            assert reasons == {"learned from endpoints that are not its own now", "says out, too long ago"}
+            assert kind(await rig.hand(rig.make("unsafe"), 1)) == "delivered"
+        listener.close()
+        old.close()
+        assert rig.broken() == []
+    run(test)
+
+
 def test_without_a_token_nobody_is_told(tmp_path: Path) -> None:
     async def test() -> None:
         async with Rig(tmp_path) as rig:
