--- a/linnetstile/decisions/knowledge.py
+++ b/linnetstile/decisions/knowledge.py
@@ -26,6 +26,7 @@
 ALARM = 0.5  # part of a peer's lanes: above it, alone, it is doubted
 OUTAGE_MAX_MS = 3_600_000.0  # no outage is taken to have begun longer ago than an hour
 WAIT_MAX_MS = 60_000.0  # a wait told to another binds no longer than a minute
+OWN_WINS = "own observation wins"
 LATENCY_MS = (0.1, 120_000.0)  # outside it a figure is an error
 
 
@@ -156,7 +157,7 @@
             elif not endpoints[lane] & set(claim.endpoints):
                 doubts.append(Doubt(source.name, claim.partner, "learned from endpoints that are not its own now"))
             elif lane in seen:
-                doubts.append(Doubt(source.name, claim.partner, "own observation wins"))
+                doubts.append(Doubt(source.name, claim.partner, OWN_WINS))
             else:
                 by_lane.setdefault(lane, []).append((source, claim))
     found = []
--- a/linnetstile/service/knowledge.py
+++ b/linnetstile/service/knowledge.py
@@ -19,7 +19,7 @@
 from ..decisions import interface as api
 from ..decisions import recall
 from ..decisions.control import Relay
-from ..decisions.knowledge import Claim, Doubt, Source, few_connections, lessons
+from ..decisions.knowledge import OWN_WINS, Claim, Doubt, Source, few_connections, lessons
 from ..decisions.membership import TOLD_MAX, Membership
 from ..net import client, server
 from ..store import snapshot
@@ -242,7 +242,8 @@
         for doubt in doubts:
             if doubt not in self.doubts and len(self.doubts) < LESSONS_KEPT:
                 self.counts["doubted"] += 1
-                self.log.info("knowledge_doubted", source=doubt.source, partner=doubt.partner, why=doubt.reason)
+                tell = self.log.debug if doubt.reason == OWN_WINS else self.log.info  # that is no fault of a peer's
+                tell("knowledge_doubted", source=doubt.source, partner=doubt.partner, why=doubt.reason)
             self.doubts[doubt] = self.doubts.get(doubt, 0) + 1
         kinds = [kind.name for kind in self.relay.s.kinds]
         few = few_connections([self.few[name] for name in sorted(self.few)])
