A relay that believes in too few relays takes the part that others know of

Instances that disagree about their number were only named in the log, and the log said more than was done: one that believed in fewer took too large a part of a cold partner that it had learned of. The larger number counts now, of the others that of the one in the middle; the module lets a learned number exceed its settings'. Tests for both.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -432,7 +432,8 @@
         """How many relays may have met the outage: no more than there are, nor than calls it failed."""
         since = now if lane.bad_since is None else lane.bad_since
         since = max(min(since, lane.last_ok), since - FADE_MS)  # it may have begun at the last answer
-        return min(float(self.s.relays), 1 + MET * lane.total * (now - since) / 1000 + lane.told_on)
+        most = max(float(self.s.relays), lane.told_on)  # others may know of more relays than the settings do
+        return min(most, 1 + MET * lane.total * (now - since) / 1000 + lane.told_on)
 
     def _pace(self, now: float, lane: Lane, out: bool) -> tuple[float, float]:
         """Calls a second and in one go: the learned pace; for a destination that is out or cold, this relay's
--- a/linnetstile/service/knowledge.py
+++ b/linnetstile/service/knowledge.py
@@ -19,7 +19,7 @@
 from ..decisions import interface as api
 from ..decisions import recall
 from ..decisions.control import Relay
-from ..decisions.knowledge import OWN_WINS, Claim, Doubt, Source, few_connections, lessons
+from ..decisions.knowledge import OWN_WINS, Claim, Doubt, Source, few_connections, lessons, middle
 from ..decisions.membership import TOLD_MAX, Membership
 from ..net import client, server
 from ..store import snapshot
@@ -103,6 +103,7 @@
         self.peers_version: dict[str, int] = {}
         self.heard: dict[str, tuple[float, dict[tuple[str, int], Claim]]] = {}  # peer -> when, claims then
         self.few: dict[str, dict[str, float]] = {}
+        self.fleet: dict[str, float] = {}  # how many relays each peer believes in
         self.before: tuple[float, tuple[Claim, ...]] | None = None  # own snapshot: when read, claims then
         self.taken: dict[tuple[str, int], dict[str, Any]] = {}  # the latest of each lane
         self.doubts: dict[Doubt, int] = {}
@@ -217,10 +218,11 @@
         known |= {(c.partner, c.route): c.claim().older(way) for c in found.claims}
         self.heard[peer] = self.now, known
         self.few[peer] = found.few_connections
+        self.fleet[peer] = float(found.relays)
         self.peers_version[peer] = found.version
         if found.relays != self.relay.s.relays:
             self.log.warning("knowledge_other_fleet", peer=peer, its=found.relays, own=self.relay.s.relays,
-                             taken="the own number for limits, the larger for what may be known of an outage")
+                             taken="the own number for limits, the larger for learned outages")
         self.learn()
 
     def _standing(self, peer: str) -> str:
@@ -238,7 +240,10 @@
         ends, seen = recall.lanes(self.relay, self.names())
         if not ends or not sources:
             return
-        found, doubts = lessons(sources, ends, seen, self.relay.s.relays)
+        # Who believes in too few relays would take too large a part of a cold partner: the larger number counts,
+        # of the others that of the one in the middle.
+        relays = max(self.relay.s.relays, int(middle(list(self.fleet.values()))))
+        found, doubts = lessons(sources, ends, seen, relays)
         for doubt in doubts:
             if doubt not in self.doubts and len(self.doubts) < LESSONS_KEPT:
                 self.counts["doubted"] += 1
--- a/tests/decisions/test_knowledge.py
+++ b/tests/decisions/test_knowledge.py
@@ -177,6 +177,17 @@
     assert sends[1] <= 10
 
 
+def test_a_relay_that_believes_in_too_few_relays_takes_the_part_that_others_know_of() -> None:
+    d = fresh(relays=4, out_ms=4000.0, knowers=40.0)
+    assert recall_knowers(d) == 40.0
+    d = fresh(relays=4)
+    assert recall_knowers(d) <= 4.0
+
+
+def recall_knowers(d: Driver) -> float:
+    return d.relay._knowers(d.now, d.relay.lanes[1][-1])
+
+
 def test_unsafe_messages_wait_where_others_say_out() -> None:
     d = fresh(out_ms=4000.0, knowers=4.0)
     ident = d.message(UNSAFE)
--- a/tests/faults/test_knowledge.py
+++ b/tests/faults/test_knowledge.py
@@ -251,6 +251,8 @@
             told = json.loads(done.stdout)
             assert {row["why"] for row in told["doubted"]} >= {"no such partner or route now"}
             assert told["peers"][0]["standing"] == "alive" and told["counts"]["answered"] == 1
+            (taken,) = told["taken"]  # it says there are nine relays: the larger number counts
+            assert taken["knowers"] == 9 and taken["sources"] == [address] and taken["out_ms"] >= 8000
         listener.close()
     run(test)
 
