--- a/linnetstile/standins/partner.py
+++ b/linnetstile/standins/partner.py
@@ -128,12 +128,15 @@
     def _work(self, exchange: server.Exchange, who: dict[str, Any]) -> None:
         self.busy += 1
         made = self.server
+        who = {**who, "repeat": self.partner.repeat(exchange)}
         asyncio.get_running_loop().call_later(
             self.partner.work_s(self.spec.id), self._done, exchange, who, made)
 
     def _done(self, exchange: server.Exchange, who: dict[str, Any], made: server.Server | None) -> None:
         if made is not self.server or made is None:
-            return  # it crashed meanwhile: nothing ran
+            if not who["repeat"]:  # it crashed meanwhile: nothing ran, and nothing is remembered
+                self.partner.keys.pop(who["mid"], None)
+            return
         self.busy -= 1
         if self.waiting:
             self._work(*self.waiting.popleft())
@@ -288,18 +291,23 @@
                                    exchange.body, self.opener)
         except (as2.As2Error, cms.CmsError, mime.MimeError) as error:
             return 400, [], f"{error}\n".encode()
-        now, subject = now_ms(), headers.get("subject")
-        keyed = any(fnmatch.fnmatchcase(subject, pattern) for pattern in self.spec.keyed)
-        seen = self.keys.get(head.id, float("-inf"))
-        duplicate = keyed and now - seen <= self.spec.key_window_ms
+        duplicate = bool(who["repeat"])
         if not duplicate:
-            self.stand.record("effect", subject=subject, **who)
-            if keyed:
-                self.keys[head.id] = now
+            self.stand.record("effect", subject=headers.get("subject"), **who)
         if not head.notify or fault == "no_receipt":
             return 200, [], b""
         return 200, *self.receipt(head, opened, duplicate, fault)
 
+    def repeat(self, exchange: server.Exchange) -> bool:
+        """Whether a key is known as the work begins; a new one is remembered from then on."""
+        headers, now = exchange.head.headers, now_ms()
+        if not any(fnmatch.fnmatchcase(headers.get("subject"), pattern) for pattern in self.spec.keyed):
+            return False
+        if now - self.keys.get(headers.get("message-id"), float("-inf")) <= self.spec.key_window_ms:
+            return True
+        self.keys[headers.get("message-id")] = now
+        return False
+
     def receipt(self, head: as2.Head, opened: bytes | None, duplicate: bool,
                 fault: str) -> tuple[list[tuple[str, str]], bytes]:
         alg = head.wish.micalgs[0] if head.wish.micalgs else "sha-256"
