A key's window leaves room for the way: a repeat sent in its last moments ran twice

The module counted the window of a key to the send of a repeat. A repeat now leaves room for a usual answer (_until). The test fails without it.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -226,7 +226,8 @@
             return NEVER
         if held.first_risk is None or held.cls.effect is Effect.SAFE:
             return held.due
-        return held.first_risk + held.cls.key_window_ms - self.s.tick_ms
+        # Leaves room for the way: a destination may look its keys up as late as it usually answers.
+        return held.first_risk + held.cls.key_window_ms - self.s.tick_ms - self.usual[0]
 
     def _end(self, now: float, held: Held, acts: list[Action]) -> None:
         if self._may_refuse(held):
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -582,3 +582,15 @@
     d.answer(first)
     d.answer(second)  # its call is still the first one
     assert not d.out.keys() & {first, second} and d.relay.busy == len(d.out)
+
+
+def test_a_repeat_leaves_room_for_the_way_before_its_key_is_forgotten() -> None:
+    """Found in the relay: sent 29 ms before the window closed, looked up after it, and the effect came twice."""
+    d = Driver()
+    d.listed((11, 1))
+    ident = d.message(KEYED)
+    first = d.last(ident)[0]
+    d.pass_time(2700)  # the window is 3 s, a usual answer takes half a second
+    d.answer(ident, api.Outcome.RESET)
+    d.pass_time(1000)
+    assert ident in d.ended and all(at - first <= 2500 for at, send in d.sent if send.id == ident)
