Register events take their name from telemetry; a dead export list goes

Read once more: the register's client wrote the name of its log event again beside names.REGISTER, and cli/relay.py kept an export list that nothing reads. No change in behaviour; ruff, mypy and the register and command tests pass.

--- a/linnetstile/cli/relay.py
+++ b/linnetstile/cli/relay.py
@@ -34,6 +34,3 @@
         click.echo(f"{file}: good")
         return
     sys.exit(asyncio.run(run(found, logger(log_level, relay=found.name), ready_file)))
-
-
-__all__ = ["command"]
--- a/linnetstile/service/register.py
+++ b/linnetstile/service/register.py
@@ -16,6 +16,7 @@
 from ..config.relay import Url, loopback, split
 from ..decisions import interface as api
 from ..net import client
+from ..telemetry import log as names
 
 WATCH_MS = 10_000  # how long the register may hold a watch without a change
 ENTRIES_MAX = 100_000
@@ -97,7 +98,7 @@
         if self.closed:
             return
         self.lists["failed"] += 1
-        self.log.warning("register", result="failed", why=why, version=self.version)
+        self.log.warning(names.REGISTER, result="failed", why=why, version=self.version)
         self.tell(api.EndpointList(api.ListKind.FAILED))
 
     def _whole(self, answer: client.Answer) -> None:
@@ -137,7 +138,7 @@
             entries.append(api.Endpoint(
                 entry.id, number, STATES[entry.status], self.kinds.get(entry.kind, len(self.kinds)),
                 self.zones.get(entry.zone, len(self.zones)), entry.rate))
-        self.log.info("register", result=kind.value, version=self.version, entries=len(entries),
+        self.log.info(names.REGISTER, result=kind.value, version=self.version, entries=len(entries),
                       not_ready=[e.id for e in document.entries if e.status != "ready"])
         self.tell(api.EndpointList(kind, tuple(entries)))
         self._watch()
