--- a/linnetstile/cli/main.py
+++ b/linnetstile/cli/main.py
@@ -13,6 +13,7 @@
     "relay": "Run one relay from a settings file.",
     "play": "Play a day through real relays and judge it.",
     "check": "Judge the record of a run by the rules.",
+    "show": "Show what a running relay holds: connections, queues, slow partners.",
     "knowledge": "Show, compare, keep and give on what a relay knows.",
     "send": "Hand one AS2 message in and show its answer.",
     "standin": "Run a stand-in: partner, register or client.",
--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -375,14 +375,26 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-def request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
-    """A request with its length; `headers` must not tell one."""
+def request_parts(method: str, target: str, headers: Iterable[tuple[str, str]],
+                  body: bytes = b"") -> tuple[bytes, bytes]:
+    """Head and body of a request with its length, the body as it is; `headers` must not tell a length."""
     if not TOKEN.match(method) or not TARGET.match(target):
         raise ValueError(f"{method!r} {target!r} can't be sent")
-    return _head(f"{method} {target} HTTP/1.1", [*headers, ("Content-Length", str(len(body)))]) + body
+    return _head(f"{method} {target} HTTP/1.1", [*headers, ("Content-Length", str(len(body)))]), body
 
 
-def response(status: int, headers: Iterable[tuple[str, str]], body: bytes = b"", head_only: bool = False) -> bytes:
-    """A response with its length; for HEAD the body is counted and left out (RFC 9110, 9.3.2)."""
+def request(method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
+    """The same in one piece."""
+    return b"".join(request_parts(method, target, headers, body))
+
+
+def response_parts(status: int, headers: Iterable[tuple[str, str]], body: bytes = b"",
+                   head_only: bool = False) -> tuple[bytes, bytes]:
+    """Head and body of a response with its length; for HEAD the body is counted and left out (RFC 9110, 9.3.2)."""
     fields = [*headers] if status == 204 else [*headers, ("Content-Length", str(len(body)))]
-    return _head(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", fields) + (b"" if head_only else body)
+    return _head(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", fields), b"" if head_only else body
+
+
+def response(status: int, headers: Iterable[tuple[str, str]], body: bytes = b"", head_only: bool = False) -> bytes:
+    """The same in one piece."""
+    return b"".join(response_parts(status, headers, body, head_only))
--- a/linnetstile/config/relay.py
+++ b/linnetstile/config/relay.py
@@ -44,7 +44,16 @@
     return text
 
 
+def partner_url(text: str) -> str:
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme not in ("http", "https") or parts.username or parts.fragment:
+        raise ValueError("expected a URL such as https://127.0.0.1:4090/as2")
+    loopback(parts.netloc)
+    return text
+
+
 Address = Annotated[str, AfterValidator(loopback)]
+PartnerUrl = Annotated[str, AfterValidator(partner_url)]
 Url = Annotated[str, AfterValidator(loopback_url)]
 
 
@@ -84,6 +93,7 @@
 class PartnerSettings(Strict):
     certificate: Path | None = None  # PEM; receipts must be signed by its key where a signature was asked for
     receipts: Literal["sync", "async"] = "sync"
+    tls: PartnerTlsSettings | None = None
 
 
 class SafetySettings(Strict):
@@ -110,6 +120,7 @@
 
 class TenantSettings(Strict):
     quota_per_s: Positive
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0  # of its part of the room, against other tenants
 
 
 class LimitSettings(Strict):
@@ -117,18 +128,58 @@
     hold: Count
     attempts: Annotated[int, Field(ge=1, le=64)] = 6
     body_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 16 * 1024 * 1024
-    head_bytes: Annotated[int, Field(ge=1024, le=1 << 20)] = 65_536
+    head_bytes: Annotated[int, Field(ge=1024, le=1 << 20)] = 16_384
     connections: Count = 4096
     connect_timeout_ms: Positive = 3000.0
     idle_ms: Positive = 15_000.0
     head_ms: Positive = 10_000.0
-    body_ms: Positive = 60_000.0
+    hold_bytes: Annotated[int, Field(ge=1 << 16, le=1 << 40)] = 128 * 1024 * 1024
+    room_wait_ms: NotNegative = 2000.0
+    receipt_bytes: Annotated[int, Field(ge=4096, le=1 << 26)] = 256 * 1024
+    remember_bytes: Annotated[int, Field(ge=1 << 16, le=1 << 40)] = 64 * 1024 * 1024
+    body_rate: NotNegative = 1024.0  # least rates, bytes a second; 0 = none: a client's body
+    answer_rate: NotNegative = 1024.0  # a client reading its answer
+    request_rate: NotNegative = 1024.0  # a partner reading a request
+    response_rate: NotNegative = 1024.0  # a partner's answer, from its first byte on
+    stall_ms: Positive = 5000.0  # of standing still that the least rates forgive
+    self_check_ms: NotNegative = 0.0  # asserts that nothing leaks, so often; 0 = never
     remember_ms: Positive = 600_000.0
     remember: Count = 100_000
     longest_advice_ms: NotNegative = 30_000.0
     stop_ms: NotNegative | None = None  # None: until the last held message has had its time
 
 
+    @model_validator(mode="after")
+    def _room(self) -> LimitSettings:
+        if self.hold_bytes < self.body_bytes + 65_536:
+            raise ValueError("expected hold_bytes to be at least body_bytes and 65536 more: one message must fit")
+        return self
+
+
+class TlsSettings(Strict):
+    """The listener's. Files are read again when they change."""
+
+    certificate: Path  # PEM, the chain behind it
+    key: Path | None = None  # if not in the same file
+    client_authorities: Path | None = None  # PEM: who signs the clients' certificates
+    need_client: bool = False  # no handshake without one
+
+    @model_validator(mode="after")
+    def _whole(self) -> TlsSettings:
+        if self.need_client and self.client_authorities is None:
+            raise ValueError("expected client_authorities where need_client is set")
+        return self
+
+
+class PartnerTlsSettings(Strict):
+    """For partners whose URL is https."""
+
+    authorities: Path  # PEM: who signs the partner's certificate, or that certificate itself
+    name: str | None = Field(None, min_length=1, max_length=253)  # that it must show, if not the host of its URL
+    certificate: Path | None = None  # the relay's own, where the partner asks for one
+    key: Path | None = None
+
+
 class IdentitySettings(Strict):
     as2_name: str = Field("linnetstile", min_length=1, max_length=128)
     pem: Path | None = None  # key and certificate, for the relay's own receipts
@@ -168,6 +219,9 @@
     safety: SafetySettings = SafetySettings()
     goal: GoalSettings = GoalSettings()
     knowledge: KnowledgeSettings = KnowledgeSettings()
+    tls: TlsSettings | None = None
+    admin: Path | None = None  # local socket for `linnetstile show`
+    metrics: Address | None = None  # where scrapers read /metrics
     seed: int = 0
 
     @model_validator(mode="after")
@@ -181,6 +235,13 @@
             raise ValueError(f"zone: {self.zone!r} is not among the zones")
         return self
 
+    def memory_bound(self) -> int:
+        """Bytes that the process stays under whatever peers do (docs/design/slow-peers.md gives each term)."""
+        limits = self.limits
+        return (96 << 20) + limits.connections * (112 << 10 if self.tls else 48 << 10) + limits.hold_bytes \
+            + 2 * limits.body_bytes + limits.slots * (limits.receipt_bytes + (256 << 10)) \
+            + limits.remember_bytes + limits.remember * 1024
+
     def router_rules(self) -> tuple[Rule, ...]:
         classes, tenants = list(self.classes), list(self.tenants)
         # Without a tenant a message has the number behind the last one, which no quota names.
--- a/linnetstile/decisions/evidence.py
+++ b/linnetstile/decisions/evidence.py
@@ -18,6 +18,7 @@
 
     NOT_SENT = "not_sent"  # not a byte of the request left this process
     NO_CONNECTION = "no_connection"
+    CUT = "cut"  # ended before the last byte of the request had left this process
     LOST = "lost"  # the connection ended after a byte had left, before the answer was complete
     TIMED_OUT = "timed_out"
     GARBLED = "garbled"  # what came back is not HTTP
@@ -46,6 +47,7 @@
     status: int = 0
     retry_after_ms: float | None = None
     receipt: Receipt = Receipt.NOT_ASKED
+    whole: bool = True  # the last byte of the request had left when the answer came
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,8 @@
 SIGHTS = {
     Sight.NOT_SENT: Proof(Outcome.NOT_SENT, "not a byte left"),
     Sight.NO_CONNECTION: Proof(Outcome.CONNECT_FAILED, "no connection was made"),
+    # RFC 9112, 8: an incomplete request can't be acted on. As a connection that was not made: nothing arrived.
+    Sight.CUT: Proof(Outcome.CONNECT_FAILED, "ended before the request was whole: nothing can have run"),
     Sight.LOST: Proof(Outcome.RESET, "connection lost after a byte had left: may have run"),
     Sight.TIMED_OUT: Proof(Outcome.TIMEOUT, "no answer in time: may have run"),
     Sight.GARBLED: Proof(Outcome.RESET, "the answer is not HTTP: may have run"),
@@ -91,4 +95,6 @@
         return Proof(Outcome.FULL, f"{seen.status}: refused" + (f", wait {wait:.0f} ms" if wait else ""), wait_ms=wait)
     if 200 <= seen.status < 300:
         return RECEIPTS[seen.receipt]
+    if not seen.whole:
+        return Proof(Outcome.CONNECT_FAILED, f"{seen.status} before the request was whole: nothing can have run")
     return Proof(Outcome.ERROR, f"{seen.status}: may have run")
--- a/linnetstile/decisions/identifiers.py
+++ b/linnetstile/decisions/identifiers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Generic, TypeVar
@@ -36,9 +37,15 @@
 
     `keep_ms` is to cover the longest key window and a client's patience: what is forgotten is new."""
 
-    def __init__(self, keep_ms: float, most: int) -> None:
+    def __init__(self, keep_ms: float, most: int, most_bytes: float = float("inf"),
+                 size: Callable[[A], int] = lambda answer: 0, short: Callable[[A], A] = lambda answer: answer) -> None:
         self.keep_ms = keep_ms
         self.most = most
+        self.most_bytes = most_bytes
+        self.size, self.short = size, short
+        self.bytes = 0  # of the answers kept whole
+        self.whole: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self.shortened = 0
         self.known: dict[tuple[str, str], Known[T, A]] = {}
         self.answered: OrderedDict[tuple[str, str], None] = OrderedDict()
         self.given_up = 0  # answers forgotten for want of room, before their time
@@ -66,6 +73,16 @@
         assert known.open is not None, "a second final answer"
         known.open, known.answer, known.until = None, answer, now + self.keep_ms
         self.answered[sender, ident] = None
+        self.whole[sender, ident] = self.size(answer)
+        self.bytes += self.whole[sender, ident]
+        # Big answers go first in part: that there was one, and which, is never forgotten before its time for bytes.
+        while self.bytes > self.most_bytes:
+            oldest, size = self.whole.popitem(last=False)
+            self.bytes -= size
+            shortened = self.known[oldest]
+            if shortened.answer is not None:
+                shortened.answer = self.short(shortened.answer)
+            self.shortened += 1
 
     def _forget(self, now: float) -> None:
         while self.answered:
@@ -75,3 +92,4 @@
                 return
             self.given_up += not late
             del self.answered[oldest], self.known[oldest]
+            self.bytes -= self.whole.pop(oldest, 0)
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -3,23 +3,43 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..codec import http1
 from ..decisions.evidence import Sight
+from ..decisions.pace import Meter
+from .tls import Keys, Tls
 from .wire import Wire
 
-Address = tuple[str, int]
+Address = tuple[str, int] | str  # or the path of a local socket
+Data = bytes | tuple[bytes, ...]
+Secure = tuple[Keys, str]  # with which keys, and the name that the peer's certificate is to show
+
+
+def shown(address: Address) -> str:
+    return address if isinstance(address, str) else f"{address[0]}:{address[1]}"
+
+
+@dataclass(frozen=True, slots=True)
+class Rates:
+    """Least rates in bytes a second (0 = none asked for), and the stall in seconds that they forgive."""
+
+    request: float = 0.0  # at which a peer reads
+    response: float = 0.0  # at which it answers, from the first byte of its answer on
+    grace_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """How a call ended; `head` and `body` only where it was answered."""
+    """How a call ended; `head` and `body` only where it was answered. `whole`: the last byte of the request had left
+    this process, so that the peer may have had all of it."""
 
     sight: Sight
     head: http1.Response | None = None
     body: bytes = b""
+    whole: bool = True
 
 
 class Call:
@@ -51,6 +71,8 @@
         conn, self.conn = self.conn, None
         if conn:
             conn.call = None
+            if conn.partial:  # what is left of the request goes with the connection: it never was whole
+                sight = Sight.CUT
             conn.transport.abort()
         self.finish(Answer(sight))
 
@@ -64,25 +86,54 @@
         self.head: http1.Response | None = None
         self.pieces: list[bytes] = []
         self.idle_since = 0.0
+        self.began = pool.loop.time()  # of the call
+        self.came = self.counted = self.left = 0  # bytes received, seen by the meter, and gone out at the last look
+        rates = pool.rates
+        self.meter_out = Meter(rates.request, rates.grace_s * 1000)
+        self.meter_in = Meter(rates.response, rates.grace_s * 1000)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.pool.open.add(self)
 
-    def send(self, call: Call, method: str, data: bytes) -> bool:
+    @property
+    def partial(self) -> bool:
+        """A byte of the request has not left this process. RFC 9112, 8: what is not complete can't be acted on, and
+        an AS2 message has its digest over all of it."""
+        return self.blocked or self.queued > 0
+
+    def send(self, call: Call, method: str, data: Data) -> bool:
         """False if not a byte left: the connection had died, or the first write met that it has."""
         if self.dead:
             return False
         self.call, call.conn = call, self
+        self.began = self.pool.loop.time()
+        self.came = self.counted = 0
+        self.meter_in.rest()
         self.parser.expect(method)
-        self.transport.write(data)
-        if self.transport.is_closing():  # the only write, into an empty buffer, failed as a whole
+        self.put(*((data,) if isinstance(data, bytes) else data))
+        if self.transport.is_closing():  # the first write, into an empty buffer, failed as a whole
             self.call = call.conn = None
             return False
         call.written = True
         return True
 
+    def overdue(self, now: float) -> str:
+        """Which least rate the peer is below, if any; ticks the meters. Times in ms."""
+        if self.call is None:
+            return ""
+        if self.partial:
+            left = self.given - self.unsent
+            moved, self.left = left - self.left, left
+            return "request_rate" if self.meter_out.tick(now, moved) else ""
+        self.left = self.given
+        self.meter_out.rest()
+        moved, self.counted = self.came - self.counted, self.came
+        # Until the first byte of an answer a peer works, and its time is the caller's to bound.
+        return "response_rate" if self.came and self.meter_in.tick(now, moved) else ""
+
     def received(self, data: memoryview) -> None:
+        self.came += len(data)
         if self.call is None:  # bytes that answer nothing: such a connection can't be trusted with a request
             self.transport.abort()
             return
@@ -109,12 +160,12 @@
         self.pieces.clear()
         assert call is not None and head is not None
         call.conn = None
-        unsent = self.transport.get_write_buffer_size()  # an answer that came before the request was out
-        if head.keep_alive and self.parser.idle and not unsent and not self.dead:
+        partial = self.partial  # an answer that came before the request was out
+        if head.keep_alive and self.parser.idle and not partial and not self.dead:
             self.pool.keep(self)
         else:
-            self.transport.close()
-        call.finish(Answer(Sight.ANSWERED, head, body))
+            self.transport.abort() if partial else self.transport.close()
+        call.finish(Answer(Sight.ANSWERED, head, body, not partial))
 
     def eof_received(self) -> None:
         if self.call is not None and not self.parser.failed:
@@ -124,30 +175,35 @@
                 return
 
     def connection_lost(self, exc: Exception | None) -> None:
+        partial = self.partial
         super().connection_lost(exc)
         self.pool.drop(self)
         call, self.call = self.call, None
         if call is not None:
             call.conn = None
-            call.finish(Answer(Sight.LOST))
+            call.finish(Answer(Sight.CUT if partial else Sight.LOST))
 
 
 class Pool:
     """Keeps idle connections for `idle_s` at most, newest first; counters in `counts`."""
 
-    def __init__(self, connect_s: float = 3.0, idle_s: float = 15.0, limits: http1.Limits | None = None) -> None:
+    def __init__(self, connect_s: float = 3.0, idle_s: float = 15.0, limits: http1.Limits | None = None,
+                 rates: Rates | None = None, on_slow: Callable[[ClientConnection, str], None] | None = None) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect_s = connect_s
         self.idle_s = idle_s
         self.limits = limits or http1.Limits()
+        self.rates = rates or Rates()
+        self.on_slow = on_slow or (lambda conn, why: None)
         self.idle: dict[Address, list[ClientConnection]] = {}
         self.open: set[ClientConnection] = set()
-        self.counts = {"connects": 0, "reused": 0, "failed": 0}
-        self._sweeper = self.loop.call_later(1.0, self._sweep)
+        self.counts = {"connects": 0, "reused": 0, "failed": 0, "no_descriptors": 0}
+        self._every = 0.25 if self.rates.request or self.rates.response else 1.0
+        self._sweeper = self.loop.call_later(self._every, self._sweep)
 
-    def call(self, address: Address, method: str, data: bytes, done: Callable[[Answer], None],
-             until: float | None = None) -> Call:
-        """Sends one request; `until` is the loop time at which it times out."""
+    def call(self, address: Address, method: str, data: Data, done: Callable[[Answer], None],
+             until: float | None = None, secure: Secure | None = None) -> Call:
+        """Sends one request, in one piece or several; `until` is the loop time at which it times out."""
         call = Call(done)
         if until is not None:
             call.timer = self.loop.call_at(until, call.abort, Sight.TIMED_OUT)
@@ -158,18 +214,31 @@
                 self.counts["reused"] += 1
                 return call
             # Not a byte left: another connection is no second attempt.
-        call.connecting = self.loop.create_task(self._connect(call, address, method, data))
+        call.connecting = self.loop.create_task(self._connect(call, address, method, data, secure))
         return call
 
-    async def _connect(self, call: Call, address: Address, method: str, data: bytes) -> None:
+    async def _connect(self, call: Call, address: Address, method: str, data: Data, secure: Secure | None) -> None:
         self.counts["connects"] += 1
+        sight = Sight.NO_CONNECTION
+        conn: ClientConnection | None = None
         try:
             async with asyncio.timeout(self.connect_s):
-                _, conn = await self.loop.create_connection(lambda: ClientConnection(self, address), *address)
+                try:
+                    conn = await self._open(address, secure)
+                except OSError as error:
+                    if error.errno not in (errno.EMFILE, errno.ENFILE):
+                        raise
+                    # Our own want of descriptors proves nothing about the peer.
+                    sight = Sight.NOT_SENT
+                    self.counts["no_descriptors"] += 1
+                    for other in list(self.idle):
+                        self.close_idle(other)
+                    await asyncio.sleep(0)
+                    conn = await self._open(address, secure)
         except (OSError, TimeoutError):
             self.counts["failed"] += 1
             call.connecting = None
-            call.finish(Answer(Sight.NO_CONNECTION))
+            call.finish(Answer(sight))
             return
         call.connecting = None
         if call.done is None:
@@ -177,6 +246,32 @@
         elif not conn.send(call, method, data):
             call.finish(Answer(Sight.NOT_SENT))
 
+    async def _open(self, address: Address, secure: Secure | None) -> ClientConnection:
+        conn = ClientConnection(self, address)
+        if isinstance(address, str):
+            await self.loop.create_unix_connection(lambda: conn, address)
+            return conn
+        if secure is None:
+            await self.loop.create_connection(lambda: conn, *address)
+            return conn
+        ready: asyncio.Future[str | None] = self.loop.create_future()
+        keys, name = secure
+
+        def told(why: str | None) -> None:
+            if not ready.done():
+                ready.set_result(why)
+
+        await self.loop.create_connection(lambda: Tls(conn, keys.context, False, name, told), *address)
+        try:
+            why = await ready
+        except asyncio.CancelledError:
+            conn.transport.abort()
+            raise
+        if why is not None:
+            self.on_slow(conn, f"handshake: {why}")
+            raise ConnectionError(why)
+        return conn
+
     def keep(self, conn: ClientConnection) -> None:
         conn.idle_since = self.loop.time()
         self.idle.setdefault(conn.address, []).append(conn)
@@ -200,7 +295,13 @@
         for conn in [c for idle in self.idle.values() for c in idle if c.idle_since < old]:
             self.drop(conn)
             conn.transport.close()
-        self._sweeper = self.loop.call_later(1.0, self._sweep)
+        now = self.loop.time() * 1000
+        for conn in list(self.open):
+            why = conn.overdue(now)
+            if why and conn.call is not None:
+                self.on_slow(conn, why)
+                conn.call.abort(Sight.TIMED_OUT)
+        self._sweeper = self.loop.call_later(self._every, self._sweep)
 
     def close(self) -> None:
         self._sweeper.cancel()
@@ -208,7 +309,7 @@
             conn.transport.abort()
 
 
-async def once(address: Address, method: str, data: bytes, seconds: float,
+async def once(address: Address, method: str, data: Data, seconds: float,
                limits: http1.Limits | None = None) -> Answer:
     """One call on a connection of its own, for tools."""
     answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -9,25 +9,36 @@
 from dataclasses import dataclass
 
 from ..codec import http1
+from ..decisions.pace import Meter, victim
+from .tls import Keys, Tls
 from .wire import Wire
 
+SMALL_BODY = 64 * 1024  # bytes: a body that was refused by its head is read and dropped up to here
+LINGER_S = 2.0  # what a peer still sends is dropped for so long, so that it can read why it was refused
+LINGER_BYTES = 1024 * 1024
+STEP = 64 * 1024  # bytes of room asked for at a time by a body that tells no length
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Times in seconds, counts a listener. A connection over one of them is let go."""
+    """Times in seconds, rates in bytes a second (0 = none asked for), counts a listener. A connection over one of them
+    is let go."""
 
     connections: int = 4096
     head_s: float = 10.0  # from the first byte of a head to its end, and from the connection's start
-    body_s: float = 60.0  # without a byte of the body
     idle_s: float = 60.0  # between two requests
+    body_rate: float = 0.0  # least rate of a body
+    answer_rate: float = 0.0  # least rate at which an answer is read
+    grace_s: float = 5.0  # of a stall that the least rates forgive
     pipelined: int = 16  # parsed events waiting behind a request that is not answered yet
-    write_bytes: int = 4 * 1024 * 1024  # answers that a peer does not read
+    write_bytes: int = 256 * 1024  # of answers that a peer has not read, before no more is read from it
+    sweep_s: float = 1.0  # how often bounds are looked at
 
 
 class Exchange:
     """One request and its one reply."""
 
-    __slots__ = ("conn", "head", "body", "began", "answered", "on_gone")
+    __slots__ = ("conn", "head", "body", "began", "answered", "on_gone", "length", "room", "charge", "who")
 
     def __init__(self, conn: Connection, head: http1.Request, began: float) -> None:
         self.conn = conn
@@ -36,12 +47,22 @@
         self.began = began  # loop time, s
         self.answered = False
         self.on_gone: Callable[[], None] | None = None
+        chunked = "transfer-encoding" in head.headers
+        self.length = None if chunked else int(head.headers.get("content-length") or 0)
+        self.room = 0  # bytes of its body that there is room for
+        self.charge: object = None  # of whoever grants room; given back by the server's `release`
+        self.who: object = None  # what was read out of the head already
+
+    def go(self) -> None:
+        """There is room: the body is read on."""
+        self.conn.go(self)
 
     def reply(self, status: int, headers: Iterable[tuple[str, str]] = (), body: bytes = b"",
               close: bool = False) -> bool:
         """Writes the answer; False if the client has gone. A second call is a fault of ours."""
         assert not self.answered, "a second answer to one request"
         self.answered = True
+        self.conn.server.release(self)
         return self.conn.answer(self, status, headers, body, close)
 
 
@@ -56,50 +77,117 @@
         self.current: Exchange | None = None
         self.skipping = False  # the request was answered before its body was read
         self.pieces: list[bytes] = []
-        self.touched = self.since = server.loop.time()
+        self.size = 0  # of the pieces
+        self.opened = self.since = server.loop.time()
         self.closing = False
         self.paused = False
+        self.waiting = False  # for room
         self.eof = False
         self.read = False  # the current request is complete
+        self.requests = 0
+        self.lingers: float | None = None
+        self.dropped = 0  # bytes that came after the last answer
+        self.tls: Tls | None = None
+        self.came = self.counted = 0  # bytes received, and those of them that the meter has seen
+        self.left = 0  # bytes that had left at the last look
+        bounds = server.bounds
+        self.meter_in = Meter(bounds.body_rate, bounds.grace_s * 1000)
+        self.meter_out = Meter(bounds.answer_rate, bounds.grace_s * 1000)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if len(self.server.open) >= self.server.bounds.connections:
+        self.where = self.host()
+        if not self.server.room_for(self):
             self.server.count("refused_connections")
-            self.transport.abort()  # guards descriptors and memory: the oldest connections keep their places
-        self.server.open.add(self)
+            self.transport.abort()  # guards descriptors and memory
+            return
+        self.server.add(self)
+
+    def secured(self, why: str | None) -> None:
+        """The TLS handshake has ended."""
+        if why is not None:
+            self.server.count("handshakes_failed")
+            self.server.on_error(self.peer(), http1.ProtocolError(0, f"no TLS handshake: {why}"))
 
     def received(self, data: memoryview) -> None:
-        self.touched = self.server.loop.time()
+        self.came += len(data)
         if self.parser.idle:
-            self.since = self.touched
+            self.since = self.server.loop.time()
         if self.closing:
+            self.dropped += len(data)
+            if self.dropped > LINGER_BYTES:  # it will not stop
+                self.transport.abort()
             return
         with contextlib.suppress(http1.ProtocolError):  # told by parser.failed, after what came before it
             self.pending.extend(self.parser.feed(data))
         self._work()
 
     def _work(self) -> None:
-        while self.pending and not self.closing and (self.current is None or not self._complete()):
+        while self.pending and not self.closing and not self.waiting and not self._complete():
             event = self.pending.popleft()
             if isinstance(event, http1.Request):
-                self.current = Exchange(self, event, self.since)
-                self.pieces.clear()
-                self.server.head(self.current)
-                if event.expects_continue and not self.current.answered:
-                    self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._begun(event)
             elif isinstance(event, http1.Data):
-                if not self.skipping:
-                    self.pieces.append(event.data)
+                self._data(event.data)
             elif isinstance(event, http1.End):
                 self._ended()
         if not self.pending and self.parser.failed and not self.closing and not self._complete():
             self._refuse(self.parser.failed)
-        full = len(self.pending) > self.server.bounds.pipelined
-        if full != self.paused and not self.dead:
+        self._flow()
+
+    def _flow(self) -> None:
+        """Reads on, or not: what waits behind this connection's own request, answer or room is not taken in."""
+        if self.dead or self.closing:
+            return
+        bounds = self.server.bounds
+        full = len(self.pending) > bounds.pipelined or self.waiting or (
+            self.blocked and self.unsent > bounds.write_bytes)
+        if full != self.paused:
             self.paused = full
             self.transport.pause_reading() if full else self.transport.resume_reading()
 
+    def _begun(self, head: http1.Request) -> None:
+        self.current = exchange = Exchange(self, head, self.since)
+        self.requests += 1
+        self.pieces.clear()
+        self.size = 0
+        self.meter_in.rest()
+        self.server.head(exchange)
+        if exchange.answered:
+            return
+        need = exchange.length if exchange.length is not None else STEP
+        if need and not self.server.admit(exchange, need):
+            self.waiting = not exchange.answered
+            return
+        exchange.room = need
+        self._welcome(exchange)
+
+    def _welcome(self, exchange: Exchange) -> None:
+        self.hungry = exchange.length is None or exchange.length > SMALL_BODY
+        if exchange.head.expects_continue:
+            self.put(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def go(self, exchange: Exchange) -> None:
+        if exchange is not self.current or exchange.answered or self.dead:
+            return
+        self.waiting = False
+        if not exchange.room:
+            self._welcome(exchange)
+        exchange.room += exchange.length if exchange.length is not None else STEP
+        self._work()
+
+    def _data(self, data: bytes) -> None:
+        exchange = self.current
+        if self.skipping or exchange is None:
+            return
+        self.pieces.append(data)
+        self.size += len(data)
+        while exchange.length is None and self.size > exchange.room and not exchange.answered:
+            if not self.server.admit(exchange, STEP):
+                self.waiting = not exchange.answered
+                return
+            exchange.room += STEP
+
     def _complete(self) -> bool:
         """The current request has been read and waits for its answer."""
         return self.current is not None and self.read
@@ -109,6 +197,7 @@
         if exchange is None:
             return
         self.since = self.server.loop.time()
+        self.hungry = False
         if self.skipping:
             self.skipping, self.current = False, None
             return
@@ -121,75 +210,149 @@
                close: bool) -> bool:
         if self.dead:
             return False
-        early = not self.read
+        early, self.waiting = not self.read, False
         # A body that was not asked for is read and dropped only if small: else the connection goes.
-        close = close or self.eof or not exchange.head.keep_alive or early and bool(exchange.head.headers.get("expect"))
+        big = early and (exchange.length is None or exchange.length > SMALL_BODY)
+        expects = early and bool(exchange.head.headers.get("expect"))
+        close = close or self.eof or not exchange.head.keep_alive or big or expects
         fields = [*headers, ("Connection", "close")] if close else headers
-        self.transport.write(http1.response(status, fields, body, exchange.head.method == "HEAD"))
-        if self.transport.get_write_buffer_size() > self.server.bounds.write_bytes:
-            self.server.count("slow_readers")
-            self.transport.abort()
-            return False
+        self.put(*http1.response_parts(status, fields, body, exchange.head.method == "HEAD"))
         if early:
             self.skipping = True
+            self.pieces.clear()
+            self.hungry = False
         else:
             self.read, self.current = False, None
         if close:
-            self._finish()
-        elif not early:
+            self._finish(linger=early)
+        else:
             self.server.loop.call_soon(self._work)
         return True
 
     def _refuse(self, error: http1.ProtocolError) -> None:
         self.server.count("protocol_errors")
         self.server.on_error(self.peer(), error)
-        if not self.dead:
-            text = f"{error.text}\n".encode()
-            headers = [("Content-Type", "text/plain"), ("Connection", "close")]
-            self.transport.write(http1.response(error.status, headers, text))
-        self._finish()
-
-    def _finish(self) -> None:
-        """Writes what is left, then closes; what the peer still sends is dropped."""
+        text = f"{error.text}\n".encode()
+        headers = [("Content-Type", "text/plain"), ("Connection", "close")]
+        self.put(*http1.response_parts(error.status, headers, text))
+        self._finish(linger=True)
+
+    def _finish(self, linger: bool = False) -> None:
+        """Writes what is left, then closes; what the peer still sends is dropped. With `linger` it may send on for a
+        while: closing on unread bytes resets the connection, and the answer might never be read."""
         self.closing = True
         self.pending.clear()
-        if not self.dead:
-            self.transport.close()
+        if self.dead:
+            return
+        if linger and not self.eof and not self.queue and self.transport.can_write_eof():
+            self.lingers = self.server.loop.time()
+            self.transport.write_eof()
+            self.transport.resume_reading()
+        else:
+            self.end()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._flow()
 
     def eof_received(self) -> bool:
         """A client may close its half and still read the answer; an unfinished request is gone."""
         self.eof = True
         if self._complete() and self.current is not None and self.current.on_gone:
             self.current.on_gone()
-        return self._complete()
+        return self._complete() or self.unsent > 0 and self.lingers is None
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self.server.open.discard(self)
-        if self.current is not None and self.current.on_gone and not self.current.answered and not self.eof:
-            self.current.on_gone()
-
-    def overdue(self, now: float) -> bool:
-        bounds = self.server.bounds
+        self.server.drop(self)
+        if self.current is not None and not self.current.answered:
+            if not self._complete():  # never taken: what it held goes back
+                self.server.release(self.current)
+            if self.current.on_gone and not self.eof:
+                self.current.on_gone()
+
+    # -- bounds ------------------------------------------------------------------------------------------
+
+    @property
+    def phase(self) -> str:
+        """What this connection is at, in words that operators read."""
+        if self.tls is not None and not self.tls.secured:
+            return "handshake"
+        if self.lingers is not None or self.closing:
+            return "closing"
+        if self.waiting:
+            return "room"
         if self._complete():
-            return False  # we owe the answer
+            return "held"
+        if self.unsent:
+            return "answer"
         if self.current is not None:
-            return now - self.touched > bounds.body_s
-        return now - self.since > (bounds.idle_s if self.parser.idle else bounds.head_s)
+            return "body"
+        return "head" if not self.parser.idle or not self.requests else "idle"
+
+    @property
+    def carries(self) -> bool:
+        """Something was taken from it, or is owed to it."""
+        return self.phase not in ("handshake", "head", "idle")
+
+    def overdue(self, now: float) -> str:
+        """Which bound it is over, if any; ticks the meters."""
+        bounds, phase = self.server.bounds, self.phase
+        if self.unsent:
+            left = self.given - self.unsent
+            moved, self.left = left - self.left, left
+            if self.meter_out.tick(now * 1000, moved):
+                return "answer_rate"
+        else:
+            self.left = self.given
+            self.meter_out.rest()
+        moved, self.counted = self.came - self.counted, self.came
+        if phase == "body" and not self.paused:
+            return "body_rate" if self.meter_in.tick(now * 1000, moved) else ""
+        self.meter_in.at = None
+        if self.lingers is not None:
+            return "linger" if now - self.lingers > LINGER_S else ""
+        if phase in ("head", "handshake"):
+            return phase if now - self.since > bounds.head_s else ""
+        return "idle" if phase == "idle" and now - self.since > bounds.idle_s else ""
+
+    def let_go(self, why: str) -> None:
+        """In the way that proves most: a request that is not complete is told that it never was taken."""
+        if why in ("body_rate", "head") and not self.parser.idle and not self.dead and not self.eof:
+            if self.current is not None and not self.current.answered:
+                self.current.answered = True
+                self.server.release(self.current)
+            text = b"too slow: nothing of this request was taken\n"
+            self.put(*http1.response_parts(408, [("Content-Type", "text/plain"), ("Connection", "close")], text))
+            self._finish(linger=True)
+        elif why == "idle":
+            self._finish()
+        else:
+            self.transport.abort()
 
 
 class Server:
-    """Serves `handler` on a loopback address; counters in `counts`."""
+    """Serves `handler` on a loopback address; counters in `counts`.
+
+    `head` is called when a head is complete, and may answer; `admit(exchange, bytes)` when a body is due: True = there
+    is room, False = it was answered, or it waits and `exchange.go()` follows; `release(exchange)` when an exchange ends
+    by an answer, or before it was complete."""
 
     def __init__(self, handler: Handler, head: Handler | None = None, limits: http1.Limits | None = None,
                  bounds: Bounds | None = None, on_error: Callable[[str, http1.ProtocolError], None] | None = None,
-                 ) -> None:
+                 admit: Callable[[Exchange, int], bool] | None = None, release: Handler | None = None,
+                 on_slow: Callable[[Connection, str], None] | None = None, keys: Keys | None = None) -> None:
         self.handler = handler
         self.head: Handler = head or (lambda exchange: None)
+        self.admit = admit or (lambda exchange, size: True)
+        self.release: Handler = release or (lambda exchange: None)
         self.limits = limits or http1.Limits()
         self.bounds = bounds or Bounds()
         self.on_error = on_error or (lambda peer, error: None)
+        self.on_slow = on_slow or (lambda conn, why: None)
+        self.keys = keys
         self.open: set[Connection] = set()
+        self.hosts: dict[str, int] = {}
         self.counts: dict[str, int] = {}
         self.loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
@@ -198,18 +361,64 @@
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def _made(self) -> asyncio.BaseProtocol:
+        conn = Connection(self)
+        if self.keys is None:
+            return conn
+        conn.tls = Tls(conn, self.keys.context, True, ready=conn.secured)
+        return conn.tls
+
+    def room_for(self, conn: Connection) -> bool:
+        """A full listener lets one go that carries nothing: half-open connections don't keep others out."""
+        if len(self.open) < self.bounds.connections:
+            return True
+        empty = {id(c): c for c in self.open if not c.carries and not c.dead}
+        found = victim(self.hosts, conn.where, [(c.where, c.since, key) for key, c in empty.items()])
+        if found is None:
+            return False
+        self.count("let_go_full")
+        self.on_slow(empty[found], "full")
+        empty[found].transport.abort()
+        self.drop(empty[found])
+        return True
+
+    def add(self, conn: Connection) -> None:
+        self.open.add(conn)
+        self.hosts[conn.where] = self.hosts.get(conn.where, 0) + 1
+
+    def drop(self, conn: Connection) -> None:
+        if conn in self.open:
+            self.open.remove(conn)
+            self.hosts[conn.where] -= 1
+            if not self.hosts[conn.where]:
+                del self.hosts[conn.where]
+
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
         """Returns the port. The accept queue holds 1024."""
-        self._server = await self.loop.create_server(lambda: Connection(self), host, port, backlog=1024)
+        self._server = await self.loop.create_server(self._made, host, port, backlog=1024)
         self._sweep()
         return int(self._server.sockets[0].getsockname()[1])
 
+    async def start_local(self, path: str) -> None:
+        """Listens on a socket of the file system, for the owner alone."""
+        import os
+        before = os.umask(0o177)
+        try:
+            self._server = await self.loop.create_unix_server(self._made, path, backlog=16)
+        finally:
+            os.umask(before)
+        self._sweep()
+
     def _sweep(self) -> None:
         now = self.loop.time()
-        for conn in [conn for conn in self.open if conn.overdue(now)]:
-            self.count("let_go")
-            conn.transport.abort()
-        self._sweeper = self.loop.call_later(min(1.0, self.bounds.head_s / 4), self._sweep)
+        for conn in list(self.open):
+            why = conn.overdue(now)
+            if why:
+                self.count(f"let_go_{why}")
+                if why not in ("idle", "linger"):
+                    self.on_slow(conn, why)
+                conn.let_go(why)
+        self._sweeper = self.loop.call_later(min(self.bounds.sweep_s, self.bounds.head_s / 4), self._sweep)
 
     def stop_listening(self) -> None:
         if self._server:
--- a/linnetstile/net/wire.py
+++ b/linnetstile/net/wire.py
@@ -1,26 +1,55 @@
-"""What both ends of a connection share: the receive buffer and the write side."""
+"""What both ends of a connection share: the receive buffer, and a write side that knows what has not left yet."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import cast
+from collections import deque
+from typing import Protocol, cast
 
 # One buffer for all connections of a process: a selector loop fills it and hands it over within one callback, so it
 # is never in use twice. A buffer for each of 10,000 connections would hold 640 MB for nothing.
 _SHARED = memoryview(bytearray(256 * 1024))
+# What a peer that was granted no room may have us read in one go: bounds what half-read requests hold.
+_SMALL = _SHARED[: 16 * 1024]
+SLICE = 128 * 1024  # handed to the transport in one go: it copies what the kernel does not take
+
+
+class Transport(Protocol):
+    """What a wire needs of a transport: asyncio's, or TLS over one."""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None: ...
+    def write_eof(self) -> None: ...
+    def can_write_eof(self) -> bool: ...
+    def close(self) -> None: ...
+    def abort(self) -> None: ...
+    def is_closing(self) -> bool: ...
+    def pause_reading(self) -> None: ...
+    def resume_reading(self) -> None: ...
+    def get_write_buffer_size(self) -> int: ...
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+    def get_extra_info(self, name: str, default: object = None) -> object: ...
 
 
 class Wire(asyncio.BufferedProtocol):
-    """Reads into the shared buffer and calls `received` with a view that is valid during the call only."""
+    """Reads into the shared buffer and calls `received` with a view that is valid during the call only. Writes with
+    `put`: what the kernel does not take waits here, uncopied, so that `unsent` is exact to a slice."""
 
-    transport: asyncio.Transport
+    transport: Transport
     lost = False
+    hungry = False  # reads by whole buffers
+    blocked = False  # the kernel has not taken all that the transport was given
+    ending = False  # closes once all has been written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
+        self.transport = cast(Transport, transport)
+        # Told at once when the kernel takes no more, and when it has taken the last byte.
+        self.transport.set_write_buffer_limits(high=0)
+        self.queue: deque[memoryview] = deque()
+        self.queued = 0
+        self.given = 0  # bytes put since the connection began
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return _SHARED
+        return _SHARED if self.hungry else _SMALL
 
     def buffer_updated(self, nbytes: int) -> None:
         self.received(_SHARED[:nbytes])
@@ -28,8 +57,51 @@
     def received(self, data: memoryview) -> None:
         raise NotImplementedError
 
+    def put(self, *pieces: bytes) -> None:
+        """Writes in order; big pieces are neither joined nor copied here."""
+        if self.dead:
+            return
+        size = sum(map(len, pieces))
+        self.given += size
+        if size <= SLICE and not self.queued and not self.blocked:
+            self.transport.write(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+            return
+        self.queue.extend(memoryview(piece) for piece in pieces if piece)
+        self.queued += size
+        self._pump()
+
+    def _pump(self) -> None:
+        while self.queue and not self.blocked and not self.dead:
+            piece = self.queue.popleft()
+            if len(piece) > SLICE:
+                self.queue.appendleft(piece[SLICE:])
+                piece = piece[:SLICE]
+            self.queued -= len(piece)
+            self.transport.write(piece)
+        if self.ending and not self.queue and not self.dead:
+            self.transport.close()
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that the kernel has not taken: the peer can't have the whole message while there are any."""
+        return self.queued + self.transport.get_write_buffer_size()
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+        self._pump()
+
+    def end(self) -> None:
+        """Closes once what was put has been written."""
+        self.ending = True
+        if not self.queue and not self.dead:
+            self.transport.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
+        self.queue.clear()
 
     @property
     def dead(self) -> bool:
@@ -37,4 +109,8 @@
 
     def peer(self) -> str:
         name = self.transport.get_extra_info("peername")
-        return f"{name[0]}:{name[1]}" if name else "?"
+        return f"{name[0]}:{name[1]}" if isinstance(name, tuple) else "?"
+
+    def host(self) -> str:
+        """The peer's address without its port: what bounds by client go by before it has told a name."""
+        return self.peer().rpartition(":")[0]
--- a/linnetstile/service/receipts.py
+++ b/linnetstile/service/receipts.py
@@ -23,6 +23,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     kind: str = ""
+    whole: bool = True  # False: that it was given, and which kind it was, is all that is kept
 
 
 class Receipts:
@@ -87,7 +88,18 @@
 
     def own(self, head: as2.Head, text: str) -> Answer:
         """The relay's receipt that says failed, signed where it has a key."""
-        kind, body = mdn.Mdn(head.id, head.receiver, "failed", "failure", text.split("\n")[0][:200], text=text).build()
+        return self._made(head, mdn.Mdn(head.id, head.receiver, "failed", "failure", text.split("\n")[0][:200],
+                                        text=text))
+
+    def again(self, head: as2.Head, kind: str) -> Answer:
+        """What is said of a message whose receipt was given and is not kept any more (limits.remember_bytes)."""
+        if kind == "delivered":
+            return self._made(head, mdn.Mdn(head.id, head.receiver, modifier="warning", detail="duplicate-document",
+                                            text="delivered before; the partner's receipt was given then"))
+        return self.own(head, f"{kind} before; the answer was given then")
+
+    def _made(self, head: as2.Head, found: mdn.Mdn) -> Answer:
+        kind, body = found.build()
         if self.identity is not None:
             entity = f"Content-Type: {kind}\r\n\r\n".encode() + body
             kind, body = cms.sign(entity, self.identity)
--- a/linnetstile/service/register.py
+++ b/linnetstile/service/register.py
@@ -13,7 +13,7 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from ..codec import http1
-from ..config.relay import Url, loopback, split
+from ..config.relay import PartnerUrl, loopback, split
 from ..decisions import interface as api
 from ..net import client
 from ..telemetry import log as names
@@ -26,7 +26,7 @@
 class Entry(BaseModel):
     id: int = Field(ge=0, le=2**31)
     partner: str = Field(min_length=1, max_length=128)
-    url: Url
+    url: PartnerUrl
     status: Literal["ready", "draining", "gone"]
     kind: str = ""
     zone: str = ""
@@ -41,7 +41,7 @@
 class Place:
     """Where an endpoint is reached."""
 
-    __slots__ = ("id", "partner", "address", "target", "host")
+    __slots__ = ("id", "partner", "address", "target", "host", "secure")
 
     def __init__(self, entry: Entry) -> None:
         parts = urllib.parse.urlsplit(entry.url)
@@ -49,6 +49,7 @@
         self.partner = entry.partner
         self.address = split(parts.netloc)
         self.host = parts.netloc
+        self.secure = parts.scheme == "https"
         self.target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
 
 
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -9,6 +9,7 @@
 import secrets
 import time
 import urllib.parse
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,12 +20,16 @@
 from ..decisions.control import Relay
 from ..decisions.evidence import Receipt, Seen, Sight, proof
 from ..decisions.identifiers import Hand, Identifiers
-from ..decisions.routing import Router
+from ..decisions.routing import Router, Rule
+from ..decisions.shares import Charge
 from ..net import client, server
+from ..net.tls import Keys, TlsError
 from ..telemetry import log as names
+from .admin import Admin
 from .knowledge import Knowledge
 from .receipts import Answer, Receipts
 from .register import Place, Register
+from .room import Origin, Room
 
 # Hop by hop (RFC 9110, 7.6.1) or ours to say; all else of the client's head goes on as it came.
 NOT_FORWARDED = {"host", "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
@@ -45,6 +50,14 @@
     timer: asyncio.TimerHandle | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Sorted(Origin):
+    """A request's head, read once."""
+
+    head: as2.Head = field(kw_only=True)
+    rule: Rule = field(kw_only=True)
+
+
 @dataclass(slots=True, eq=False)
 class Carried:
     """One message from its acceptance to its final answer."""
@@ -59,6 +72,7 @@
     tries: int = 0
     attempt: Attempt | None = None
     last: str = ""  # what the latest attempt proved, for people
+    charge: Charge | None = None  # the room that it holds
 
 
 def retry_after(headers: http1.Headers) -> float | None:
@@ -90,15 +104,31 @@
         self.classes = module.classes
         self.relay = Relay(module, settings.seed if seed is None else seed)
         self.router = Router(settings.router_rules())
-        self.identifiers: Identifiers[Carried, Answer] = Identifiers(limits.remember_ms, limits.remember)
+        self.identifiers: Identifiers[Carried, Answer] = Identifiers(
+            limits.remember_ms, limits.remember, limits.remember_bytes, lambda answer: len(answer.body),
+            lambda answer: Answer(answer.status, (), b"", answer.kind, False))
         self.receipts = Receipts(settings)
         self.register = Register(settings.register_url, settings.name, list(settings.kinds), list(settings.zones),
                                  self._listed, log)
         bounds = http1.Limits(body=limits.body_bytes, head=limits.head_bytes)
-        self.pool = client.Pool(limits.connect_timeout_ms / 1000, limits.idle_ms / 1000, bounds)
+        stall_s = limits.stall_ms / 1000
+        self.pool = client.Pool(
+            limits.connect_timeout_ms / 1000, limits.idle_ms / 1000, http1.Limits(body=limits.receipt_bytes),
+            client.Rates(limits.request_rate, limits.response_rate, stall_s), self._slow_partner)
+        self.room = Room(limits, module.hold, {name: t.weight for name, t in settings.tenants.items()}, log,
+                         self._no_room)
+        tls = settings.tls
+        self.keys = Keys(True, tls.certificate, tls.key, tls.client_authorities, tls.need_client) if tls else None
+        self.partner_keys = {
+            name: Keys(False, each.tls.certificate, each.tls.key, each.tls.authorities)
+            for name, each in settings.partners.items() if each.tls}
         self.server = server.Server(
             self._request, self._head, bounds,
-            server.Bounds(limits.connections, limits.head_ms / 1000, limits.body_ms / 1000), self._bad_peer)
+            server.Bounds(limits.connections, limits.head_ms / 1000, body_rate=limits.body_rate,
+                          answer_rate=limits.answer_rate, grace_s=stall_s, sweep_s=0.25),
+            self._bad_peer, self.room.admit, self.room.ended, self._slow_client, self.keys)
+        self.periodic: list[asyncio.TimerHandle] = []
+        self.admin = Admin(self, settings.admin, settings.metrics) if settings.admin or settings.metrics else None
         self.carried: dict[int, Carried] = {}
         self.tokens: dict[str, tuple[Carried, Attempt]] = {}
         self.counts: dict[str, int] = {}
@@ -118,6 +148,12 @@
         host, port = split(self.s.listen)
         self.address = f"{host}:{await self.server.start(host, port)}"
         self.knowledge.start(self.address)
+        if self.admin:
+            await self.admin.start()
+        if self.s.limits.self_check_ms:
+            self._every(self.s.limits.self_check_ms, self.verify)
+        if self.keys or self.partner_keys:
+            self._every(1000.0, self._renew)
         self._plan()
         return self.address
 
@@ -130,6 +166,8 @@
         grace = self.s.limits.stop_ms if self.s.limits.stop_ms is not None else longest
         self.log.info(names.STOPPING, held=len(self.carried), within_ms=grace)
         self.loop.call_later(grace / 1000, self._overtime)
+        for exchange in list(self.room.waiting):
+            self._no_room(exchange, "refused: this relay is stopping; try another", 1000.0)
         self._maybe_stopped()
 
     def _overtime(self) -> None:
@@ -140,10 +178,73 @@
 
     def _maybe_stopped(self) -> None:
         if self.stopping and not self.carried and not self.handbacks:
-            self.loop.call_later(0.05, self.stopped.set)  # the last answers are on their way out
+            self.loop.call_later(0.05, self._read_out)
+
+    def _read_out(self) -> None:
+        """Ends once the last answers have left; a client that reads one too slowly is let go by its rate."""
+        if any(conn.unsent for conn in self.server.open if not conn.dead):
+            self.loop.call_later(0.05, self._read_out)
+        else:
+            self.stopped.set()
+
+    def _every(self, ms: float, what: Callable[[], None]) -> None:
+        slot = len(self.periodic)
+
+        def go() -> None:
+            self.periodic[slot] = self.loop.call_later(ms / 1000, go)
+            what()
+
+        self.periodic.append(self.loop.call_later(ms / 1000, go))
+
+    def _renew(self) -> None:
+        """Reads keys and certificates again that have changed; what can't be used leaves the old ones in service."""
+        for name, keys in [("listener", self.keys), *self.partner_keys.items()]:
+            try:
+                if keys is not None and keys.reload():
+                    self.log.info(names.KEYS, of=name, result="renewed")
+            except TlsError as error:
+                self.count("tls_keys_refused")
+                self.log.error(names.KEYS, of=name, result="the old ones stay", why=str(error))
+
+    def verify(self) -> None:
+        """Asserts that no room, slot, token, timer or connection is held by nobody (limits.self_check_ms)."""
+        self.room.shares.verify()
+        reading = {id(c.current.charge) for c in self.server.open if c.current is not None and c.current.charge}
+        held = {id(carried.charge) for carried in self.carried.values() if carried.charge is not None}
+        owned = {id(charge) for charge in self.room.charges}
+        told = f"{len(owned)} charges, {len(reading)} read, {len(held)} held"
+        assert owned == reading | held, f"room held by nobody: {told}"
+        out = [carried.attempt for carried in self.carried.values() if carried.attempt is not None]
+        assert len(out) <= self.relay.busy + len(self.events), f"{len(out)} attempts, {self.relay.busy} slots"
+        assert set(self.tokens) == {a.token for a in out if a.token}, "a receipt address without attempt"
+        calls = {id(conn.call) for conn in self.pool.open if conn.call is not None and conn.call.done is not None}
+        ours = {id(attempt.call) for attempt in out if attempt.call is not None}
+        assert len(calls - ours) <= len(self.handbacks), "a call that no attempt waits for"
+        slots = sum(len(office.out) for office in self.room.offices.known.values())
+        assert slots == len(out), f"{slots} attempts counted by office, {len(out)} out"
+
+    def _slow_client(self, conn: server.Connection, why: str) -> None:
+        self.count(f"let_go_{why}")
+        exchange = conn.current
+        origin = exchange.who if exchange is not None and isinstance(exchange.who, Origin) else None
+        self.log.warning(names.LET_GO, peer=conn.peer(), bound=why, phase=conn.phase, read=conn.came,
+                         message=origin.message if origin else "", sender=origin.sender if origin else "")
+
+    def _slow_partner(self, conn: client.ClientConnection, why: str) -> None:
+        self.count(f"partner_let_go_{why.partition(':')[0]}")
+        self.log.warning(names.LET_GO, peer=client.shown(conn.address), bound=why, unsent=conn.queued, read=conn.came)
+
+    def _no_room(self, exchange: server.Exchange, text: str, advice_ms: float) -> None:
+        self.count("refused_no_room")
+        self._reply(exchange, plain(503, text, "refused", advice_ms))
 
     def close(self) -> None:
         """Ends every connection at once."""
+        for handle in self.periodic:
+            handle.cancel()
+        self.room.close()
+        if self.admin:
+            self.admin.close()
         if self.timer:
             self.timer.cancel()
         for handle in self.handbacks:
@@ -231,6 +332,11 @@
     def _head(self, exchange: server.Exchange) -> None:
         """Before the body is read: what can be refused by its head alone."""
         if exchange.head.target.startswith("/receipt/"):
+            carried, _ = self.tokens.get(exchange.head.target.removeprefix("/receipt/"), (None, None))
+            if carried is None or (exchange.length or 0) > self.s.limits.receipt_bytes:
+                self._receipt(exchange)
+            else:
+                exchange.who = Origin("receipts", exchange.conn.where, "", carried.head.receiver, carried.head.id)
             return
         path = exchange.head.target.partition("?")[0]
         if path in ("/knowledge", "/knowledge/state") and exchange.head.method == "GET":
@@ -240,6 +346,33 @@
             exchange.reply(answer.status, answer.headers, answer.body)
         elif self.stopping:
             self._refuse(exchange, plain(503, "refused: this relay is stopping; try another", "refused", 1000.0), "")
+        else:
+            self._sorted(exchange)
+
+    def _sorted(self, exchange: server.Exchange) -> None:
+        """Whose message it is, by its head: its tenant and class, and whose room its body takes."""
+        headers = exchange.head.headers
+        try:
+            head = as2.Head.of(headers)
+            if head.reply_to:
+                loopback_url(head.reply_to)
+        except as2.As2Error as error:
+            self._refuse(exchange, plain(400, f"refused: {error}", "refused"), headers.get("message-id")[:200])
+            return
+        except ValueError as error:
+            text = f"refused: Receipt-Delivery-Option: {error}"
+            self._refuse(exchange, plain(400, text, "refused"), headers.get("message-id")[:200])
+            return
+        rule = self.router.match(head.sender, head.receiver, head.subject, headers.get("content-type"))
+        if rule is None:
+            text = f"refused: no rule takes a message from {head.sender} to {head.receiver} of this subject and type"
+            self._refuse(exchange, plain(403, text, "refused"), head.id)
+            return
+        tenants = list(self.s.tenants)
+        tenant = tenants[rule.tenant] if rule.tenant < len(tenants) else ""
+        shown = exchange.conn.tls.certificate() if exchange.conn.tls else ""
+        exchange.who = Sorted(tenant, shown or exchange.conn.where, head.sender, head.receiver, head.id,
+                              head=head, rule=rule)
 
     def _status(self, head: http1.Request) -> Answer | None:
         if head.method not in ("GET", "HEAD") or head.target != "/health":
@@ -259,24 +392,10 @@
         if exchange.head.target.startswith("/receipt/"):
             self._receipt(exchange)
             return
-        headers = exchange.head.headers
-        try:
-            head = as2.Head.of(headers)
-            if head.reply_to:
-                loopback_url(head.reply_to)
-        except as2.As2Error as error:
-            self._refuse(exchange, plain(400, f"refused: {error}", "refused"), headers.get("message-id")[:200])
-            return
-        except ValueError as error:
-            text = f"refused: Receipt-Delivery-Option: {error}"
-            self._refuse(exchange, plain(400, text, "refused"), head.id)
-            return
-        rule = self.router.match(head.sender, head.receiver, head.subject, headers.get("content-type"))
+        found = exchange.who
+        assert isinstance(found, Sorted)
+        head, rule, headers = found.head, found.rule, exchange.head.headers
         partner = self.register.partners.get(head.receiver)
-        if rule is None:
-            text = f"refused: no rule takes a message from {head.sender} to {head.receiver} of this subject and type"
-            self._refuse(exchange, plain(403, text, "refused"), head.id)
-            return
         digest = hashlib.blake2b(headers.get("content-type").encode() + b"\0" + head.receiver.encode() + b"\0"
                                  + exchange.body, digest_size=16).digest()
         hand, known = self.identifiers.look(self.now, head.sender, head.id, digest)
@@ -304,6 +423,7 @@
         cls = self.classes[class_]
         due = exchange.began * 1000 + cls.deadline_ms
         carried = Carried(self.ids, head, exchange.head.headers, exchange.body, class_, due)
+        carried.charge = self.room.take(exchange)
         self.carried[carried.id] = carried
         self.identifiers.open(head.sender, head.id, digest, carried)
         self.count("taken")
@@ -317,6 +437,8 @@
 
     def _join(self, carried: Carried, exchange: server.Exchange) -> None:
         """Waits for the final answer, on this connection or by the receipt address."""
+        exchange.body = b""  # held once, by the message
+        self.room.ended(exchange)
         if not carried.head.reply_to:
             carried.waiters.append(exchange)
         else:
@@ -329,15 +451,24 @@
         attempt = Attempt(carried.tries, endpoint, self.now)
         carried.tries += 1
         carried.attempt = attempt
+        self.room.offices.began(self.now, carried.head.receiver, id(attempt))
         place = self.register.places.get(endpoint)
         if place is None:
             self._outcome(carried, attempt, Seen(Sight.NOT_SENT), None)
             return
         self.log.debug(names.ATTEMPT, message=carried.head.id, attempt=attempt.number, endpoint=endpoint,
                        until_ms=round(until - self.now))
-        data = http1.request("POST", place.target, self._fields(carried, attempt, place), carried.body)
+        secure = None
+        if place.secure:
+            keys, own = self.partner_keys.get(carried.head.receiver), self.s.partners.get(carried.head.receiver)
+            if keys is None or own is None or own.tls is None:
+                self.log.error(names.FAULT, why=f"partners.{carried.head.receiver}.tls is not set, its URL is https")
+                self._outcome(carried, attempt, Seen(Sight.NO_CONNECTION), None)
+                return
+            secure = keys, own.tls.name or place.address[0]
+        data = http1.request_parts("POST", place.target, self._fields(carried, attempt, place), carried.body)
         attempt.call = self.pool.call(place.address, "POST", data,
-                                      lambda answer: self._answered(carried, attempt, answer), until / 1000)
+                                      lambda answer: self._answered(carried, attempt, answer), until / 1000, secure)
         if attempt.token:
             attempt.timer = self.loop.call_at(until / 1000, self._no_receipt, carried, attempt)
 
@@ -366,7 +497,7 @@
         receipt = Receipt.NOT_ASKED
         if 200 <= status < 300:
             receipt = self.receipts.judge(carried.head, carried.headers, carried.body, headers, answer.body)
-        self._outcome(carried, attempt, Seen(Sight.ANSWERED, status, retry_after(headers), receipt),
+        self._outcome(carried, attempt, Seen(Sight.ANSWERED, status, retry_after(headers), receipt, answer.whole),
                       Receipts.handed_on(status, headers, answer.body))
 
     def _no_receipt(self, carried: Carried, attempt: Attempt) -> None:
@@ -397,6 +528,7 @@
 
     def _outcome(self, carried: Carried, attempt: Attempt, seen: Seen, answer: Answer | None) -> None:
         carried.attempt = None
+        self.room.offices.ended(self.now, carried.head.receiver, id(attempt))
         self.tokens.pop(attempt.token, None)
         if attempt.timer:
             attempt.timer.cancel()
@@ -420,6 +552,7 @@
     def _final(self, carried: Carried, answer: Answer) -> None:
         """The one final answer, on every connection that waits and to the receipt address."""
         del self.carried[carried.id]
+        self.room.release(carried.charge)
         head = carried.head
         if answer.kind == "refused":
             self.identifiers.refused(head.sender, head.id)
@@ -439,6 +572,9 @@
         exchange.reply(answer.status, fields, answer.body, close=self.stopping)
 
     def _give(self, head: as2.Head, exchange: server.Exchange, answer: Answer) -> None:
+        if not answer.whole:
+            again = self.receipts.again(head, answer.kind)
+            answer = Answer(answer.status, again.headers, again.body, answer.kind)
         if not head.reply_to:
             self._reply(exchange, answer)
             return
