--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -9,14 +9,13 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import collections
-import json
 import tempfile
 from pathlib import Path
 from typing import Any
 
+from benchmarks.common import parser, tell
 from tests.faults.rig import SAFETY, Rig, kind
 
 RATE, PER_S, OUT_S = 60.0, 100.0, 6.0
@@ -62,16 +61,11 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--fresh", type=int, default=6)
-    parser.add_argument("--seconds", type=float, default=20.0)
-    parser.add_argument("--json")
-    args = parser.parse_args()
-    results = [asyncio.run(measure(args.fresh, args.seconds, learning)) for learning in (False, True)]
-    text = json.dumps(results, indent=1)
-    print(text)
-    if args.json:
-        Path(args.json).write_text(text + "\n", encoding="utf-8")
+    made = parser(__doc__)
+    made.add_argument("--fresh", type=int, default=6)
+    made.add_argument("--seconds", type=float, default=20.0)
+    args = made.parse_args()
+    tell([asyncio.run(measure(args.fresh, args.seconds, learning)) for learning in (False, True)], args.json)
 
 
 if __name__ == "__main__":
--- a/benchmarks/held.py
+++ b/benchmarks/held.py
@@ -8,24 +8,17 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
-from pathlib import Path
 from typing import Any
 
-from benchmarks.throughput import child, end
+from benchmarks.common import child, end, parser, resident_mb, tell
 from linnetstile.codec import http1
 from linnetstile.net import client
 from linnetstile.standins import messages
 from linnetstile.standins.register import RegisterSpec, RegisterStand
 
 
-def resident_mb(pid: int) -> float:
-    text = Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
-    return int(text.split("VmRSS:")[1].split()[0]) / 1024
-
-
 async def measure(count: int, size: int) -> dict[str, Any]:
     entry = {"id": 1, "partner": "p", "url": "http://127.0.0.1:9/as2", "status": "draining", "rate": 10.0}
     register = RegisterStand(RegisterSpec(entries=[entry]))
@@ -34,7 +27,7 @@
         "classes": {"a": {"effect": "safe", "aim_ms": 500_000, "deadline_ms": 600_000}},
         "limits": {"slots": 64, "hold": 4 * count}}
     relay, port = await asyncio.get_running_loop().run_in_executor(
-        None, child, "--serve-relay", json.dumps(settings), "")
+        None, child, "throughput", "--serve-relay", json.dumps(settings), "")
     pool, loop = client.Pool(), asyncio.get_running_loop()
     numbers, taken = iter(range(count)), 0
 
@@ -66,15 +59,11 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--messages", type=int, default=10_000)
-    parser.add_argument("--bytes", type=int, default=700)
-    parser.add_argument("--json")
-    args = parser.parse_args()
-    text = json.dumps(asyncio.run(measure(args.messages, args.bytes)), indent=1)
-    print(text)
-    if args.json:
-        Path(args.json).write_text(text + "\n", encoding="utf-8")
+    made = parser(__doc__)
+    made.add_argument("--messages", type=int, default=10_000)
+    made.add_argument("--bytes", type=int, default=700)
+    args = made.parse_args()
+    tell(asyncio.run(measure(args.messages, args.bytes)), args.json)
 
 
 if __name__ == "__main__":
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -10,13 +10,10 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import itertools
 import json
-import os
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -25,6 +22,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from benchmarks.common import child, end, parser, tell
 from linnetstile.codec import cms, http1, mdn
 from linnetstile.config.relay import RelaySettings
 from linnetstile.net import client, server
@@ -121,22 +119,6 @@
     service.close()
 
 
-def child(*args: str) -> tuple[subprocess.Popen[str], int]:
-    process = subprocess.Popen([sys.executable, "-m", "benchmarks.throughput", *args], stdout=subprocess.PIPE,
-                               text=True)
-    assert process.stdout is not None
-    return process, json.loads(process.stdout.readline())["port"]
-
-
-def end(process: subprocess.Popen[str]) -> float:
-    """Ends a child of this run; returns the CPU seconds that it used."""
-    with open(f"/proc/{process.pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rpartition(")")[2].split()
-    process.terminate()
-    process.wait(20)
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def load(port: int, seconds: float, connections: int, receipt: bool) -> dict[str, Any]:
     pool, histogram = client.Pool(), HdrHistogram(1, 60_000_000, 3)
     serial, loop = itertools.count(time.time_ns()), asyncio.get_running_loop()
@@ -169,7 +151,7 @@
     (folder / "p.pem").write_bytes(cms.save(cms.make_identity("p")))
     results: dict[str, Any] = {}
     for case, receipt, signed in (("no receipt", False, False), ("signed receipt", True, True)):
-        sink, sink_port = child("--serve-sink", str(int(signed)), str(folder / "p.pem"))
+        sink, sink_port = child("throughput", "--serve-sink", str(int(signed)), str(folder / "p.pem"))
         entries = [{"id": 1, "partner": "p", "url": f"http://127.0.0.1:{sink_port}/as2", "status": "ready",
                     "rate": 1e6}]
         register = RegisterStand(RegisterSpec(entries=entries))
@@ -178,9 +160,9 @@
             "classes": {"a": {"effect": "safe", "aim_ms": 5000, "deadline_ms": 20000}}, "rules": [{"class": "a"}],
             "limits": {"slots": 4 * connections, "hold": 10_000},
             "partners": {"p": {"certificate": str(folder / "p.pem")}}}
-        through, through_port = child("--serve-pass", str(sink_port))
+        through, through_port = child("throughput", "--serve-pass", str(sink_port))
         relay, relay_port = await asyncio.get_running_loop().run_in_executor(
-            None, child, "--serve-relay", json.dumps(settings), profile if signed else "")
+            None, child, "throughput", "--serve-relay", json.dumps(settings), profile if signed else "")
         found: dict[str, Any] = {}
         for name, port in (("direct", sink_port), ("pass-through", through_port), ("relay", relay_port)):
             found[name] = await load(port, seconds, connections, receipt)
@@ -207,16 +189,12 @@
     elif sys.argv[1:2] == ["--serve-relay"]:
         asyncio.run(serve_relay(sys.argv[2], sys.argv[3]))
     else:
-        parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-        parser.add_argument("--seconds", type=float, default=6.0)
-        parser.add_argument("--connections", type=int, default=32)
-        parser.add_argument("--json")
-        parser.add_argument("--profile", default="")
-        args = parser.parse_args()
-        text = json.dumps(asyncio.run(measure(args.seconds, args.connections, args.profile)), indent=1)
-        print(text)
-        if args.json:
-            Path(args.json).write_text(text + "\n", encoding="utf-8")
+        made = parser(__doc__)
+        made.add_argument("--seconds", type=float, default=6.0)
+        made.add_argument("--connections", type=int, default=32)
+        made.add_argument("--profile", default="")
+        args = made.parse_args()
+        tell(asyncio.run(measure(args.seconds, args.connections, args.profile)), args.json)
 
 
 if __name__ == "__main__":
--- a/linnetstile/standins/partner.py
+++ b/linnetstile/standins/partner.py
@@ -91,6 +91,24 @@
             "began", t=round(exchange.began * 1000, 2), partner=self.partner.spec.name, endpoint=self.spec.id,
             relay=headers.get("via").removeprefix("1.1 "), mid=headers.get("message-id"),
             subject=headers.get("subject"), conn=id(exchange.conn) % 10**8)
+        if self.partner.fault(self.spec.id, headers.get("subject")) == "crawl":
+            self._crawl(exchange)
+
+    def _crawl(self, exchange: server.Exchange) -> None:
+        """Reads the body at so many bytes a second: what the kernels of both ends buffer is full soon enough."""
+        conn, rate, loop = exchange.conn, self.partner.reset_after or 200, asyncio.get_running_loop()
+        conn.hungry, take = False, conn.received
+
+        def again() -> None:
+            if not conn.dead:
+                conn.transport.resume_reading()
+
+        def slowly(data: memoryview) -> None:
+            conn.transport.pause_reading()
+            loop.call_later(len(data) / rate, again)
+            take(data)
+
+        conn.received = slowly  # type: ignore[method-assign]
 
     def _request(self, exchange: server.Exchange) -> None:
         partner, headers = self.partner, exchange.head.headers
@@ -106,6 +124,10 @@
             partner.stand.record("answer", status=0, how="garbage", **who)
             exchange.conn.transport.write(b"\x16\x03\x01 no http here\r\n\r\n")
             return
+        if fault == "crawl":  # a body that came in one piece has not been read before its time either
+            asyncio.get_running_loop().call_later(
+                min(len(exchange.body), 16384) / (partner.reset_after or 200), self._work, exchange, who)
+            return
         if fault == "fast_errors":
             self._answer(exchange, who, 500, [], b"quick error\n")
             return
--- a/linnetstile/standins/script.py
+++ b/linnetstile/standins/script.py
@@ -11,7 +11,7 @@
 
 PARTNER_KINDS = Literal[
     "hang", "vanish", "reset", "shut", "fast_errors", "slow", "pauses", "crash", "answer_lost", "class_fail",
-    "no_receipt", "wrong_mic", "forged_receipt", "garbage", "trickle"]
+    "no_receipt", "wrong_mic", "forged_receipt", "garbage", "trickle", "crawl"]
 OUTAGES = ("hang", "vanish", "shut", "crash")  # what a partner comes back from cold
 
 
@@ -25,7 +25,7 @@
     endpoints: list[int] = []  # none = all of the partner's
     share: float = Field(1.0, ge=0, le=1)  # of calls that it hits
     factor: float = Field(4.0, gt=0)  # slow: times the usual work
-    bytes: int = Field(0, ge=0)  # reset: bytes of the answer before it
+    bytes: int = Field(0, ge=0)  # reset: bytes of the answer before it; crawl: bytes a second that are read, 0 = 200
     subject: str = "*"  # class_fail and the receipts: whose
     stall_ms: float = Field(350.0, gt=0)  # pauses: length of one
     every_ms: float = Field(2000.0, gt=0)
