--- a/linnetstile/standins/partner.py
+++ b/linnetstile/standins/partner.py
@@ -19,6 +19,7 @@
 from ..codec import as2, cms, http1, mdn, mime
 from ..config.files import Strict
 from ..net import client, server
+from ..net.tls import Keys
 from .record import Recorder, now_ms
 from .script import Fault
 
@@ -47,6 +48,8 @@
     receipts: Literal["sync", "async"] = "sync"
     pem: Path | None = None
     decrypt_pem: Path | None = None
+    tls_pem: Path | None = None  # speaks TLS with this key and certificate
+    tls_clients: Path | None = None  # and asks for a client certificate that these authorities signed
     cold_share: float = Field(0.2, gt=0, le=1)
     cold_ms: float = 10_000.0
     fall_multiple: float = 2.0
@@ -74,7 +77,7 @@
 
     async def open(self) -> None:
         made = server.Server(self._request, self._head, http1.Limits(),
-                             server.Bounds(head_s=120.0, idle_s=120.0))
+                             server.Bounds(head_s=120.0, idle_s=120.0), keys=self.partner.keys_tls)
         self.port = await made.start(port=self.port)
         self.server = made
 
@@ -224,6 +227,8 @@
         self.identity = cms.load(spec.pem.read_bytes()) if spec.pem else None
         self.opener = cms.load(spec.decrypt_pem.read_bytes()) if spec.decrypt_pem else None
         self.keys: dict[str, float] = {}
+        self.keys_tls = Keys(True, spec.tls_pem, None, spec.tls_clients, spec.tls_clients is not None) \
+            if spec.tls_pem else None
         self.credit, self.credit_at = max(2.0, spec.rate / 2), now_ms()
         self.span, self.spent = 0, 0
         self.cold_since = float("-inf")
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -35,7 +35,9 @@
             self, folder: Path, relays: int = 1, faults: list[dict[str, Any]] | None = None,
             partner: dict[str, Any] | None = None, endpoints: int = 1, classes: dict[str, Any] | None = None,
             limits: dict[str, Any] | None = None, register: dict[str, Any] | None = None,
-            warm: bool = True, knowledge: dict[str, Any] | None = None, fleet: int = 0) -> None:
+            warm: bool = True, knowledge: dict[str, Any] | None = None, fleet: int = 0,
+            tls: dict[str, Any] | None = None) -> None:
+        self.tls = tls  # how the relays reach the partner
         self.knowledge = knowledge
         self.fleet = fleet or relays  # how many the relays are told there are
         self.folder = folder
@@ -82,7 +84,8 @@
         return self
 
     def entry(self, ident: int) -> dict[str, Any]:
-        return {"id": ident, "partner": "firma", "url": f"http://127.0.0.1:{self.ports[ident]}/as2",
+        scheme = "https" if self.partner.get("tls_pem") else "http"
+        return {"id": ident, "partner": "firma", "url": f"{scheme}://127.0.0.1:{self.ports[ident]}/as2",
                 "status": "ready", "rate": self.partner["rate"] or 50.0}
 
     def settings(self, name: str, **more: Any) -> RelaySettings:
@@ -90,7 +93,7 @@
             "name": name, "register": f"http://127.0.0.1:{self.register.port}", "relays": self.fleet,
             "identity": {"pem": self.folder / "relay.pem"}, "classes": self.classes, "safety": SAFETY,
             "rules": [{"class": name, "subject": name} for name in self.classes], "limits": self.limits,
-            "partners": {"firma": {"certificate": self.folder / "firma.pem",
+            "partners": {"firma": {"certificate": self.folder / "firma.pem", "tls": self.tls,
                                    "receipts": self.partner.get("receipts", "sync")}}, **more})
 
     async def relay(self, wait: bool = True, knowledge: dict[str, Any] | None = None) -> Service:
