What is half done gives way first; outsize bodies; pipelining takes turns; files fitted

Now what never had a complete request gives way first, least moved first, ranked once for 64; one message of more than half the room may borrow nearly all of it; a connection begins four pipelined requests a turn; a body is let go once its class's deadline has passed; hand-backs keep to the slots; the limit on open files is raised or the connections are lowered to fit, with a line that says so.

Open: p99 5 s beside clients that pipeline and read nothing.

--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -173,14 +173,15 @@
         """Bytes held that have not become an event yet."""
         return len(self._buf)
 
-    def feed(self, data: bytes | memoryview) -> list[Event]:
-        """The events that these bytes complete; raises `ProtocolError` for good from the first fault on."""
+    def feed(self, data: bytes | memoryview, most: int = 1 << 30) -> list[Event]:
+        """The events that these bytes complete; raises `ProtocolError` for good from the first fault on. With `most`
+        it stops after about so many: `feed(b"")` goes on, which bounds the time that one peer's bytes take."""
         if self.failed:
             raise self.failed
         self._buf += data
         events: list[Event] = []
         try:
-            while self._state(events):
+            while len(events) < most and self._state(events):
                 pass
         except ProtocolError as error:
             self.failed = error
--- a/linnetstile/config/relay.py
+++ b/linnetstile/config/relay.py
@@ -242,6 +242,12 @@
             + 2 * limits.body_bytes + limits.slots * (limits.receipt_bytes + (256 << 10)) \
             + limits.remember_bytes + limits.remember * 1024
 
+    def files_bound(self) -> int:
+        """Open files that the process stays under: clients and those just taken, calls out and kept, hand-backs, the
+        register, peers, the admin socket, and what the program itself has open."""
+        limits = self.limits
+        return limits.connections + 64 + 3 * limits.slots + len(self.knowledge.peers) + 16 + 32
+
     def router_rules(self) -> tuple[Rule, ...]:
         classes, tenants = list(self.classes), list(self.tenants)
         # Without a tenant a message has the number behind the last one, which no quota names.
--- a/linnetstile/decisions/pace.py
+++ b/linnetstile/decisions/pace.py
@@ -4,9 +4,13 @@
 
 from __future__ import annotations
 
+import heapq
 import statistics
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
 
 # An office enters the slow ones above ENTER times the usual slot time and leaves below LEAVE times it: between the two
 # nothing changes, so an office that stalls now and then is one or the other and doesn't flap.
@@ -116,11 +120,20 @@
                 del self.known[name]
 
 
-def victim(counts: dict[str, int], host: str, idle: Iterable[tuple[str, float, int]]) -> int | None:
-    """Whom a full listener lets go for a connection from `host`: of those that carry nothing (host, since, token), the
-    one there longest of the host with most connections; None if the new one's own host has more than any of them, by
-    two or more: then it is the one to wait."""
-    best = max(((counts.get(h, 0), -since, token) for h, since, token in idle), default=None)
-    if best is None or counts.get(host, 0) > best[0] + 1:
-        return None
-    return best[2]
+@dataclass(frozen=True, slots=True)
+class Place(Generic[T]):
+    """A connection that carries nothing: its host, whether a request of it was ever complete, bytes a second since it
+    began, and since when it stands where it is."""
+
+    host: str
+    proven: bool
+    rate: float
+    since: float
+    token: T
+
+
+def giving_way(hosts: dict[str, int], places: Iterable[Place[T]], most: int) -> list[Place[T]]:
+    """Whom a full listener lets go for new ones, the last one first: those that never had a complete request before
+    those that had, the ones of the host with most connections, those that moved least, then the oldest. So half-open
+    and dripping connections make room for each other, and neither a client's kept connections nor its upload do."""
+    return heapq.nsmallest(most, places, key=lambda p: (p.proven, -hosts.get(p.host, 0), p.rate, p.since))[::-1]
--- a/linnetstile/decisions/shares.py
+++ b/linnetstile/decisions/shares.py
@@ -15,6 +15,7 @@
 from enum import Enum
 
 LENT = 0.75  # part of the room up to which borrowing goes: the rest is for those below their fair part
+OUTSIZE, NEARLY = 0.5, 0.95  # the same for a message of more than half the room, one at a time
 BYTES, MESSAGES = 0, 1
 FADE_MS = 5000.0  # how far back released room tells how fast room comes free
 VISITS = 256  # parties looked at in one go: bounds the time of a turn under attack
@@ -78,6 +79,7 @@
         self.held = [0.0, 0.0]
         self.ring: deque[Party] = deque()  # leaves with a queue, in turn
         self.owed = 0  # asks that wait although below their fair part
+        self.outsize: Charge | None = None  # the one message of more than half the room
         self.counts = {"granted": 0, "borrowed": 0, "waited": 0, "expired": 0, "never": 0}
         self._weights: dict[tuple[str, str], float] = {}
         self._freed = [0.0, 0.0]  # bytes and messages released, fading
@@ -161,10 +163,11 @@
         borrowed = self._borrows(charge, more)
         if not borrowed:
             return True
-        # A message more than the whole of what is lent comes in alone: else it never could.
-        alone = self.held[MESSAGES] <= charge.amount[MESSAGES]
-        return alone or not self.owed and all(
-            self.held[what] + more[what] <= LENT * self.room[what] for what in (BYTES, MESSAGES))
+        # One outsize message at a time may borrow nearly all: it could never come in beside others else.
+        outsize = charge.amount[BYTES] + more[BYTES] > OUTSIZE * self.room[BYTES] and self.outsize in (None, charge)
+        lent = NEARLY if outsize else LENT
+        return not self.owed and all(
+            self.held[what] + more[what] <= lent * self.room[what] for what in (BYTES, MESSAGES))
 
     def _borrows(self, charge: Charge, more: tuple[float, float]) -> bool:
         for leaf in charge.leaves:
@@ -179,6 +182,10 @@
         if sign > 0:
             self.counts["granted"] += 1
             self.counts["borrowed"] += self._borrows(charge, (more[0], more[1]))
+            if charge.amount[BYTES] + more[BYTES] > OUTSIZE * self.room[BYTES]:
+                self.outsize = charge
+        elif self.outsize is charge:
+            self.outsize = None
         for what in (BYTES, MESSAGES):
             amount = sign * more[what]
             charge.amount[what] += amount
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import contextlib
+import os
+import socket
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ..codec import http1
-from ..decisions.pace import Meter, victim
+from ..decisions.pace import Meter, Place, giving_way
 from .tls import Keys, Tls
 from .wire import Wire
 
 SMALL_BODY = 64 * 1024  # bytes: a body that was refused by its head is read and dropped up to here
 LINGER_S = 2.0  # what a peer still sends is dropped for so long, so that it can read why it was refused
+EVENTS, REQUESTS = 8, 4  # parsed at a time, and begun in one turn of a connection
+ACCEPTS = 64  # connections taken in one turn: what the open files may be over the bound for a moment
 LINGER_BYTES = 1024 * 1024
 STEP = 64 * 1024  # bytes of room asked for at a time by a body that tells no length
 
@@ -30,7 +34,7 @@
     body_rate: float = 0.0  # least rate of a body
     answer_rate: float = 0.0  # least rate at which an answer is read
     grace_s: float = 5.0  # of a stall that the least rates forgive
-    pipelined: int = 16  # parsed events waiting behind a request that is not answered yet
+    pipelined: int = 32  # events, or 512 bytes each, that wait behind a request that is not answered yet
     write_bytes: int = 256 * 1024  # of answers that a peer has not read, before no more is read from it
     sweep_s: float = 1.0  # how often bounds are looked at
 
@@ -38,7 +42,7 @@
 class Exchange:
     """One request and its one reply."""
 
-    __slots__ = ("conn", "head", "body", "began", "answered", "on_gone", "length", "room", "charge", "who")
+    __slots__ = ("conn", "head", "body", "began", "answered", "on_gone", "length", "room", "charge", "who", "until")
 
     def __init__(self, conn: Connection, head: http1.Request, began: float) -> None:
         self.conn = conn
@@ -51,6 +55,7 @@
         self.length = None if chunked else int(head.headers.get("content-length") or 0)
         self.room = 0  # bytes of its body that there is room for
         self.charge: object = None  # of whoever grants room; given back by the server's `release`
+        self.until: float | None = None  # loop time from which on it is too late for the body to be complete
         self.who: object = None  # what was read out of the head already
 
     def go(self) -> None:
@@ -81,6 +86,7 @@
         self.opened = self.since = server.loop.time()
         self.closing = False
         self.paused = False
+        self.planned = False  # a turn of work is on its way
         self.waiting = False  # for room
         self.eof = False
         self.read = False  # the current request is complete
@@ -118,14 +124,27 @@
             if self.dropped > LINGER_BYTES:  # it will not stop
                 self.transport.abort()
             return
-        with contextlib.suppress(http1.ProtocolError):  # told by parser.failed, after what came before it
-            self.pending.extend(self.parser.feed(data))
+        self._parse(data)
         self._work()
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        with contextlib.suppress(http1.ProtocolError):  # told by parser.failed, after what came before it
+            self.pending.extend(self.parser.feed(data, EVENTS))
+
     def _work(self) -> None:
-        while self.pending and not self.closing and not self.waiting and not self._complete() and not self.choked:
+        self.planned = False
+        begun = 0
+        while not self.closing and not self.waiting and not self._complete() and not self.choked:
+            if not self.pending and self.parser.buffered and not self.parser.failed:
+                self._parse(b"")
+            if not self.pending:
+                break
+            if begun >= REQUESTS:  # guards the others' turns against a peer that pipelines without end
+                self._plan()
+                break
             event = self.pending.popleft()
             if isinstance(event, http1.Request):
+                begun += 1
                 self._begun(event)
             elif isinstance(event, http1.Data):
                 self._data(event.data)
@@ -135,12 +154,18 @@
             self._refuse(self.parser.failed)
         self._flow()
 
+    def _plan(self) -> None:
+        if not self.planned:
+            self.planned = True
+            self.server.loop.call_soon(self._work)
+
     def _flow(self) -> None:
         """Reads on, or not: what waits behind this connection's own request, answer or room is not taken in."""
         if self.dead or self.closing:
             return
         bounds = self.server.bounds
-        full = len(self.pending) > bounds.pipelined or self.waiting or self.choked
+        behind = len(self.pending) + self.parser.buffered // 512
+        full = self.waiting or self.choked or behind > bounds.pipelined
         if full != self.paused:
             self.paused = full
             self.transport.pause_reading() if full else self.transport.resume_reading()
@@ -230,7 +255,7 @@
         if close:
             self._finish(linger=early)
         else:
-            self.server.loop.call_soon(self._work)
+            self._plan()
         return True
 
     def _refuse(self, error: http1.ProtocolError) -> None:
@@ -258,7 +283,7 @@
     def resume_writing(self) -> None:
         super().resume_writing()
         if self.pending or self.paused:
-            self.server.loop.call_soon(self._work)
+            self._plan()
 
     def eof_received(self) -> bool:
         """A client may close its half and still read the answer; an unfinished request is gone."""
@@ -297,8 +322,13 @@
 
     @property
     def carries(self) -> bool:
-        """Something was taken from it, or is owed to it."""
-        return self.phase not in ("handshake", "head", "idle")
+        """Something was taken from it, or is owed to it: a request that is not complete never was."""
+        return self.phase in ("held", "answer", "closing")
+
+    @property
+    def proven(self) -> bool:
+        """A request of it was complete once."""
+        return self.requests > 1 or self.requests == 1 and (self.current is None or self.read)
 
     def overdue(self, now: float) -> str:
         """Which bound it is over, if any; ticks the meters."""
@@ -312,6 +342,8 @@
             self.left = self.given
             self.meter_out.rest()
         moved, self.counted = self.came - self.counted, self.came
+        if self.current is not None and not self._complete() and (self.current.until or now) < now:
+            return "body_time"
         if phase == "body" and not self.paused:
             return "body_rate" if self.meter_in.tick(now * 1000, moved) else ""
         self.meter_in.at = None
@@ -323,7 +355,7 @@
 
     def let_go(self, why: str) -> None:
         """In the way that proves most: a request that is not complete is told that it never was taken."""
-        if why in ("body_rate", "head") and not self.parser.idle and not self.dead and not self.eof:
+        if why in ("body_rate", "body_time", "head") and not self.parser.idle and not self.dead and not self.eof:
             if self.current is not None and not self.current.answered:
                 self.current.answered = True
                 self.server.release(self.current)
@@ -360,6 +392,8 @@
         self.hosts: dict[str, int] = {}
         self.counts: dict[str, int] = {}
         self.loop = asyncio.get_running_loop()
+        self.spare: list[tuple[str, Connection]] = []  # those that give way next, the last one first
+        self.spare_at = 0.0
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
 
@@ -377,15 +411,28 @@
         """A full listener lets one go that carries nothing: half-open connections don't keep others out."""
         if len(self.open) < self.bounds.connections:
             return True
-        empty = {id(c): c for c in self.open if not c.carries and not c.dead}
-        found = victim(self.hosts, conn.where, [(c.where, c.since, key) for key, c in empty.items()])
-        if found is None:
-            return False
-        self.count("let_go_full")
-        self.on_slow(empty[found], "full")
-        empty[found].transport.abort()
-        self.drop(empty[found])
-        return True
+        if not self.spare or self.loop.time() > self.spare_at + 0.25:
+            self._rank()
+        while self.spare:
+            host, other = self.spare.pop()
+            if other.dead or other.carries or other not in self.open:
+                continue
+            if self.hosts.get(conn.where, 0) > self.hosts.get(host, 0) + 1 and other.proven:
+                break  # it may not crowd out another host's
+            self.count("let_go_full")
+            if not other.proven:
+                self.on_slow(other, "full")
+            other.transport.abort()
+            self.drop(other)
+            return True
+        return False
+
+    def _rank(self) -> None:
+        """The order in which connections give way, for the next ones: one look at all serves many."""
+        now = self.spare_at = self.loop.time()
+        able = [Place(c.where, c.proven, c.came / (now - c.opened + 1), c.since, c) for c in self.open
+                if not c.carries and not c.dead]
+        self.spare = [(place.host, place.token) for place in giving_way(self.hosts, able, ACCEPTS)]
 
     def add(self, conn: Connection) -> None:
         self.open.add(conn)
@@ -399,14 +446,16 @@
                 del self.hosts[conn.where]
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
-        """Returns the port. The accept queue holds 1024."""
-        self._server = await self.loop.create_server(self._made, host, port, backlog=1024)
+        """Returns the port. The accept queue holds 1024, of which asyncio takes `ACCEPTS` in one turn."""
+        self._server = await self.loop.create_server(self._made, host, port, backlog=ACCEPTS)
+        for each in self._server.sockets:
+            with socket.socket(fileno=os.dup(each.fileno())) as listening:
+                listening.listen(1024)
         self._sweep()
         return int(self._server.sockets[0].getsockname()[1])
 
     async def start_local(self, path: str) -> None:
         """Listens on a socket of the file system, for the owner alone."""
-        import os
         before = os.umask(0o177)
         try:
             self._server = await self.loop.create_unix_server(self._made, path, backlog=16)
--- a/linnetstile/service/process.py
+++ b/linnetstile/service/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import signal
 import sys
 from pathlib import Path
@@ -14,8 +15,26 @@
 from .relay import Service
 
 
+def fit_files(settings: RelaySettings, log: Any) -> RelaySettings:
+    """Raises the soft limit on open files as far as it may; where that is not enough, fewer connections are taken than
+    set: guards calls to partners, which a full listener would leave without descriptors."""
+    need = settings.files_bound()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < need:
+        soft = need if hard == resource.RLIM_INFINITY else min(need, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    if soft != resource.RLIM_INFINITY and soft < need:
+        fewer = max(16, settings.limits.connections - (need - soft))
+        log.warning(names.FILES, open_files_limit=soft, needed=need, connections=fewer,
+                    why=f"limits.connections is {settings.limits.connections}: raise the limit on open files, or "
+                        "lower it")
+        return settings.model_copy(update={"limits": settings.limits.model_copy(update={"connections": fewer})})
+    return settings
+
+
 async def run(settings: RelaySettings, log: Any, ready: Path | None = None) -> int:
     """Runs until SIGTERM or SIGINT; a second one ends it at once. 0 = everything held was answered, 4 = not."""
+    settings = fit_files(settings, log)
     try:
         service = Service(settings, log)
         address = await service.start()
@@ -35,7 +54,8 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
-    log.info(names.STARTED, address=address, slots=settings.limits.slots, hold=settings.limits.hold)
+    log.info(names.STARTED, address=address, slots=settings.limits.slots, hold=settings.limits.hold,
+             memory_bound_mb=settings.memory_bound() >> 20, open_files_bound=settings.files_bound())
     line = json.dumps({"listening": address, "name": settings.name})
     if ready is not None:
         ready.write_text(line + "\n")
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -9,6 +9,7 @@
 import secrets
 import time
 import urllib.parse
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -140,6 +141,8 @@
         self.stopped = asyncio.Event()
         self.address = ""
         self.handbacks: set[asyncio.TimerHandle] = set()
+        self.posting = 0
+        self.to_post: deque[tuple[tuple[str, int], bytes, str, int]] = deque()
         self.knowledge = Knowledge(settings.knowledge, self.relay, settings.name, secrets.token_hex(6),
                                    self.register.partners, self._tell, log)
 
@@ -177,7 +180,7 @@
         self.stopped.set()
 
     def _maybe_stopped(self) -> None:
-        if self.stopping and not self.carried and not self.handbacks:
+        if self.stopping and not self.carried and not self.handbacks and not self.to_post:
             self.loop.call_later(0.05, self._read_out)
 
     def _read_out(self) -> None:
@@ -368,6 +371,8 @@
             text = f"refused: no rule takes a message from {head.sender} to {head.receiver} of this subject and type"
             self._refuse(exchange, plain(403, text, "refused"), head.id)
             return
+        # Its time counts from its first byte: a body that comes in later than that could not be delivered.
+        exchange.until = exchange.began + self.classes[rule.class_].deadline_ms / 1000
         tenants = list(self.s.tenants)
         tenant = tenants[rule.tenant] if rule.tenant < len(tenants) else ""
         shown = exchange.conn.tls.certificate() if exchange.conn.tls else ""
@@ -599,7 +604,15 @@
             self.handbacks.discard(planned[0])
             self._post(address, data, ident, tries + 1)
 
+        if self.posting >= self.s.limits.slots:  # guards descriptors: a thousand answers may be due at once
+            self.to_post.append((address, data, ident, tries))
+            return
+        self.posting += 1
+
         def done(answer: client.Answer) -> None:
+            self.posting -= 1
+            if self.to_post:
+                self._post(*self.to_post.popleft())
             good = answer.head is not None and 200 <= answer.head.status < 300
             pause = handback.next_try(tries + 1, good)
             self.handbacks.discard(guard)
--- a/linnetstile/telemetry/log.py
+++ b/linnetstile/telemetry/log.py
@@ -12,7 +12,7 @@
 REGISTER, RECEIPT_ODD, BAD_PEER, HANDBACK = "register", "receipt_without_attempt", "protocol_error", "handback"
 # Flow control: a wait for room, a refusal for want of it, a connection let go, an office that holds slots for long.
 WAITS, NO_ROOM, LET_GO, SLOW, TRUSTED = "waits_for_room", "no_room", "let_go", "slow_partner", "partner_trusted_again"
-KEYS = "tls_keys"
+KEYS, FILES = "tls_keys", "open_files"
 UNFINISHED, FAULT = "unfinished_at_stop", "fault"
 
 
