--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -307,7 +307,8 @@
     def _take(self, events: list[Event]) -> None:
         size = min(self._left, len(self._buf))
         if size:
-            events.append(Data(bytes(self._buf[:size])))
+            with memoryview(self._buf) as view:
+                events.append(Data(bytes(view[:size])))
             del self._buf[:size]
             self._left -= size
 
--- a/linnetstile/config/relay.py
+++ b/linnetstile/config/relay.py
@@ -11,6 +11,7 @@
 
 from ..decisions import interface as api
 from ..decisions.routing import Rule
+from ..decisions.shares import LAST
 from .files import Strict
 
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
@@ -151,8 +152,8 @@
 
     @model_validator(mode="after")
     def _room(self) -> LimitSettings:
-        if self.hold_bytes < self.body_bytes + 65_536:
-            raise ValueError("expected hold_bytes to be at least body_bytes and 65536 more: one message must fit")
+        if self.hold_bytes * (1 - LAST) < self.body_bytes + 16_384:
+            raise ValueError("expected hold_bytes to be at least 16/15 of body_bytes and 17476 more: one must fit")
         return self
 
 
--- a/linnetstile/decisions/shares.py
+++ b/linnetstile/decisions/shares.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Sequence
@@ -15,10 +16,11 @@
 from enum import Enum
 
 LENT = 0.75  # part of the room up to which borrowing goes: the rest is for those below their fair part
-OUTSIZE, NEARLY = 0.5, 0.95  # the same for a message of more than half the room, one at a time
+OUTSIZE = 0.5  # one message at a time of more than half the room may borrow all but the last part
+LAST, SMALL = 1 / 16, 1 / 1024  # the last part of the room takes only messages of at most so small a part of it
 BYTES, MESSAGES = 0, 1
 FADE_MS = 5000.0  # how far back released room tells how fast room comes free
-VISITS = 256  # parties looked at in one go: bounds the time of a turn under attack
+VISITS, OWED = 256, 16  # parties looked at in one turn, and at each ask: bounds their time under attack
 
 
 class Say(Enum):
@@ -141,7 +143,7 @@
         """More room for a message whose length was not told."""
         assert not charge.released, "room for a charge that was given back"
         more = (float(size), float(messages))
-        if charge.amount[BYTES] + size > self.room[BYTES]:
+        if charge.amount[BYTES] + size > (1 - LAST) * self.room[BYTES]:
             self.counts["never"] += 1
             return Say.NEVER
         if not charge.leaves[0].queue and self._fits(charge, more):
@@ -158,14 +160,16 @@
         return Say.WAIT
 
     def _fits(self, charge: Charge, more: tuple[float, float]) -> bool:
-        if self.held[BYTES] + more[BYTES] > self.room[BYTES]:
+        # Guards small messages: bodies that came in while few were active may hold all else for a while.
+        small = charge.amount[BYTES] + more[BYTES] <= SMALL * self.room[BYTES]
+        if self.held[BYTES] + more[BYTES] > (1.0 if small else 1 - LAST) * self.room[BYTES]:
             return False
         borrowed = self._borrows(charge, more)
         if not borrowed:
             return True
         # One outsize message at a time may borrow nearly all: it could never come in beside others else.
         outsize = charge.amount[BYTES] + more[BYTES] > OUTSIZE * self.room[BYTES] and self.outsize in (None, charge)
-        lent = NEARLY if outsize else LENT
+        lent = 1.0 if outsize else LENT
         return not self.owed and all(
             self.held[what] + more[what] <= lent * self.room[what] for what in (BYTES, MESSAGES))
 
@@ -199,7 +203,7 @@
     def _count_owed(self) -> None:
         """Whether one of the first in the ring is below its fair part: then nothing is lent."""
         self.owed = sum(not self._borrows(leaf.queue[0].charge, leaf.queue[0].more)
-                        for leaf in list(self.ring)[:VISITS] if leaf.queue)
+                        for leaf in itertools.islice(self.ring, OWED) if leaf.queue)
 
     # -- giving back -------------------------------------------------------------------------------------
 
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -17,7 +17,7 @@
 
 SMALL_BODY = 64 * 1024  # bytes: a body that was refused by its head is read and dropped up to here
 LINGER_S = 2.0  # what a peer still sends is dropped for so long, so that it can read why it was refused
-EVENTS, REQUESTS = 8, 4  # parsed at a time, and begun in one turn of a connection
+EVENTS, REQUESTS = 8, 1  # parsed at a time, and begun in one turn of a connection
 ACCEPTS = 64  # connections taken in one turn: what the open files may be over the bound for a moment
 LINGER_BYTES = 1024 * 1024
 STEP = 64 * 1024  # bytes of room asked for at a time by a body that tells no length
@@ -42,7 +42,8 @@
 class Exchange:
     """One request and its one reply."""
 
-    __slots__ = ("conn", "head", "body", "began", "answered", "on_gone", "length", "room", "charge", "who", "until")
+    __slots__ = ("conn", "head", "body", "began", "answered", "on_gone", "length", "room", "charge", "who", "until",
+                 "sink")
 
     def __init__(self, conn: Connection, head: http1.Request, began: float) -> None:
         self.conn = conn
@@ -56,6 +57,7 @@
         self.room = 0  # bytes of its body that there is room for
         self.charge: object = None  # of whoever grants room; given back by the server's `release`
         self.until: float | None = None  # loop time from which on it is too late for the body to be complete
+        self.sink: Callable[[bytes], object] | None = None  # gets each piece of the body as it comes
         self.who: object = None  # what was read out of the head already
 
     def go(self) -> None:
@@ -210,6 +212,8 @@
         if self.skipping or exchange is None:
             return
         self.pieces.append(data)
+        if exchange.sink is not None:
+            exchange.sink(data)
         self.size += len(data)
         while exchange.length is None and self.size > exchange.room and not exchange.answered:
             if not self.server.admit(exchange, STEP):
--- a/linnetstile/net/wire.py
+++ b/linnetstile/net/wire.py
@@ -8,7 +8,7 @@
 
 # One buffer for all connections of a process: a selector loop fills it and hands it over within one callback, so it
 # is never in use twice. A buffer for each of 10,000 connections would hold 640 MB for nothing.
-_SHARED = memoryview(bytearray(256 * 1024))
+_SHARED = memoryview(bytearray(64 * 1024))
 # What a peer that was granted no room may have us read in one go: bounds what half-read requests hold.
 _SMALL = _SHARED[: 16 * 1024]
 SLICE = 128 * 1024  # handed to the transport in one go: it copies what the kernel does not take
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -57,6 +57,7 @@
 
     head: as2.Head = field(kw_only=True)
     rule: Rule = field(kw_only=True)
+    hash: hashlib.blake2b = field(kw_only=True)  # of its content, for a repeat under the same identifier
 
 
 @dataclass(slots=True, eq=False)
@@ -376,8 +377,11 @@
         tenants = list(self.s.tenants)
         tenant = tenants[rule.tenant] if rule.tenant < len(tenants) else ""
         shown = exchange.conn.tls.certificate() if exchange.conn.tls else ""
-        exchange.who = Sorted(tenant, shown or exchange.conn.where, head.sender, head.receiver, head.id,
-                              head=head, rule=rule)
+        exchange.who = found = Sorted(tenant, shown or exchange.conn.where, head.sender, head.receiver, head.id,
+                              head=head, rule=rule, hash=hashlib.blake2b(
+                                  headers.get("content-type").encode() + b"\0" + head.receiver.encode() + b"\0",
+                                  digest_size=16))
+        exchange.sink = found.hash.update  # as it comes: 200 MB in one go would hold up everybody
 
     def _status(self, head: http1.Request) -> Answer | None:
         if head.method not in ("GET", "HEAD") or head.target != "/health":
@@ -399,10 +403,9 @@
             return
         found = exchange.who
         assert isinstance(found, Sorted)
-        head, rule, headers = found.head, found.rule, exchange.head.headers
+        head, rule = found.head, found.rule
         partner = self.register.partners.get(head.receiver)
-        digest = hashlib.blake2b(headers.get("content-type").encode() + b"\0" + head.receiver.encode() + b"\0"
-                                 + exchange.body, digest_size=16).digest()
+        digest = found.hash.digest()
         hand, known = self.identifiers.look(self.now, head.sender, head.id, digest)
         if hand is Hand.CONFLICT:
             text = "conflict: this Message-ID was handed in before with other content"
