--- a/benchmarks/attack.py
+++ b/benchmarks/attack.py
@@ -18,6 +18,7 @@
 import json
 import os
 import sys
+import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -161,8 +162,9 @@
     settings = {
         "name": "r", "register": f"http://127.0.0.1:{await register.start()}", "rules": [{"class": "a"}],
         "classes": {"a": {"effect": "safe", "aim_ms": 1000, "deadline_ms": 8000}}, "limits": LIMITS}
+    log = tempfile.TemporaryFile()  # noqa: SIM115 (read after the relay has ended)
     relay, port = await asyncio.get_running_loop().run_in_executor(
-        None, child, "throughput", "--serve-relay", json.dumps(settings), "")
+        None, lambda: child("throughput", "--serve-relay", json.dumps(settings), "", log=log))
     loop = asyncio.get_running_loop()
     start, samples, phases = loop.time(), [], []
     good = {"phase": "before"}
@@ -220,7 +222,11 @@
     rows = {name: {"sent": row["sent"], "delivered": row["delivered"],
                    "p99_ms": round(row["took"].get_value_at_percentile(99) / 1000, 1),
                    "bad_peers": row.get("bad", {})} for name, row in found.items()}
-    return {"limits": LIMITS, "memory_bound_mb": round(bound), "peak_mb": max(s[1] for s in samples),
+    log.seek(0)
+    lines = log.read().decode()
+    return {"limits": LIMITS, "self_check_findings": lines.count("AssertionError"),
+            "tracebacks": lines.count("Traceback"),
+            "memory_bound_mb": round(bound), "peak_mb": max(s[1] for s in samples),
             "first_mb": samples[0][1], "last_mb": samples[-1][1], "files_bound": files,
             "peak_files": max(s[2] for s in samples), "cpu_s": round(cpu, 1), "good_client": rows, "phases": phases,
             "samples": samples}
@@ -263,7 +269,10 @@
         plot(found, args.plot)
     every = found["samples"]
     found["samples"] = every[::5]
-    tell(found, None) if not args.json else Path(args.json).write_text(json.dumps(found) + "\n", encoding="utf-8")
+    if args.json:
+        Path(args.json).write_text(json.dumps(found) + "\n", encoding="utf-8")
+    else:
+        tell(found, None)
 
 
 if __name__ == "__main__":
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -9,12 +9,13 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 
-def child(module: str, *args: str) -> tuple[subprocess.Popen[str], int]:
+def child(module: str, *args: str, log: IO[bytes] | None = None) -> tuple[subprocess.Popen[str], int]:
     """Starts `python -m benchmarks.MODULE ARGS` and reads the line with its port."""
-    process = subprocess.Popen([sys.executable, "-m", f"benchmarks.{module}", *args], stdout=subprocess.PIPE, text=True)
+    process = subprocess.Popen([sys.executable, "-m", f"benchmarks.{module}", *args], stdout=subprocess.PIPE,
+                               stderr=log, text=True)
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())["port"]
 
--- a/linnetstile/decisions/pace.py
+++ b/linnetstile/decisions/pace.py
@@ -122,11 +122,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Place(Generic[T]):
-    """A connection that carries nothing: its host, whether a request of it was ever complete, bytes a second since it
-    began, and since when it stands where it is."""
+    """A connection that carries nothing: its host, whether a request of it was ever complete, whether it has just come,
+    bytes a second since it began, and since when it stands where it is."""
 
     host: str
     proven: bool
+    young: bool
     rate: float
     since: float
     token: T
@@ -134,6 +135,8 @@
 
 def giving_way(hosts: dict[str, int], places: Iterable[Place[T]], most: int) -> list[Place[T]]:
     """Whom a full listener lets go for new ones, the last one first: those that never had a complete request before
-    those that had, the ones of the host with most connections, those that moved least, then the oldest. So half-open
-    and dripping connections make room for each other, and neither a client's kept connections nor its upload do."""
-    return heapq.nsmallest(most, places, key=lambda p: (p.proven, -hosts.get(p.host, 0), p.rate, p.since))[::-1]
+    those that had, those that have just come last of these, the ones of the host with most connections, those that
+    moved least, then the oldest. So half-open and dripping connections make room for each other, and neither a client's
+    kept connections nor its upload do, nor a new one that a busy relay has not read yet."""
+    return heapq.nsmallest(
+        most, places, key=lambda p: (p.proven, p.young, -hosts.get(p.host, 0), p.rate, p.since))[::-1]
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -18,6 +18,7 @@
 SMALL_BODY = 64 * 1024  # bytes: a body that was refused by its head is read and dropped up to here
 LINGER_S = 2.0  # what a peer still sends is dropped for so long, so that it can read why it was refused
 EVENTS, REQUESTS = 8, 1  # parsed at a time, and begun in one turn of a connection
+YOUNG_S = 0.5  # a connection has so long to show what it is for before it gives way like the others
 ACCEPTS = 64  # connections taken in one turn: what the open files may be over the bound for a moment
 LINGER_BYTES = 1024 * 1024
 STEP = 64 * 1024  # bytes of room asked for at a time by a body that tells no length
@@ -135,6 +136,8 @@
 
     def _work(self) -> None:
         self.planned = False
+        if self.dead:  # a turn that was planned before the end: nothing of it would be given back
+            return
         begun = 0
         while not self.closing and not self.waiting and not self._complete() and not self.choked:
             if not self.pending and self.parser.buffered and not self.parser.failed:
@@ -279,8 +282,11 @@
             return
         if linger and not self.eof and not self.queue and self.transport.can_write_eof():
             self.lingers = self.server.loop.time()
-            self.transport.write_eof()
-            self.transport.resume_reading()
+            try:
+                self.transport.write_eof()
+                self.transport.resume_reading()
+            except OSError:  # reset by the peer, and the loop has not told yet
+                self.transport.abort()
         else:
             self.end()
 
@@ -428,14 +434,16 @@
                 self.on_slow(other, "full")
             other.transport.abort()
             self.drop(other)
+            if other.current is not None and not other.current.answered:
+                self.release(other.current)  # now, and not when the loop tells it: the new one counts already
             return True
         return False
 
     def _rank(self) -> None:
         """The order in which connections give way, for the next ones: one look at all serves many."""
         now = self.spare_at = self.loop.time()
-        able = [Place(c.where, c.proven, c.came / (now - c.opened + 1), c.since, c) for c in self.open
-                if not c.carries and not c.dead]
+        able = [Place(c.where, c.proven, now - c.opened < YOUNG_S, c.came / (now - c.opened + 1), c.since, c)
+                for c in self.open if not c.carries and not c.dead]
         self.spare = [(place.host, place.token) for place in giving_way(self.hosts, able, ACCEPTS)]
 
     def add(self, conn: Connection) -> None:
--- a/tests/decisions/test_pace.py
+++ b/tests/decisions/test_pace.py
@@ -87,10 +87,13 @@
 
 def test_a_full_listener_lets_go_what_proved_nothing_first() -> None:
     hosts = {"many": 90, "few": 2}
-    places = [Place("few", True, 9.0, 0.0, "kept of few"), Place("many", True, 9.0, 0.0, "kept of many"),
-              Place("many", False, 10**6, 1.0, "upload"), Place("many", False, 1.0, 5.0, "drips"),
-              Place("many", False, 0.0, 7.0, "silent"), Place("many", False, 0.0, 6.0, "silent for longer"),
-              Place("few", False, 0.0, 1.0, "silent of few")]
+    rows: list[tuple[str, bool, bool, float, float, str]] = [
+        ("few", True, False, 9.0, 0.0, "kept of few"), ("many", True, False, 9.0, 0.0, "kept of many"),
+        ("many", False, False, 10**6, 1.0, "upload"), ("many", False, False, 1.0, 5.0, "drips"),
+        ("many", False, False, 0.0, 7.0, "silent"), ("many", False, False, 0.0, 6.0, "silent for longer"),
+        ("few", False, False, 0.0, 1.0, "silent of few"), ("many", False, True, 0.0, 8.0, "new")]
+    places = [Place(*row) for row in rows]
     order = [place.token for place in giving_way(hosts, places, 10)[::-1]]
-    assert order == ["silent for longer", "silent", "drips", "upload", "silent of few", "kept of many", "kept of few"]
+    assert order == ["silent for longer", "silent", "drips", "upload", "silent of few", "new", "kept of many",
+                     "kept of few"]
     assert [place.token for place in giving_way(hosts, places, 1)] == ["silent for longer"]
