Quicker shares where there is plenty; offices are not made for each attempt

Throughput had fallen: an Office object was made at each attempt and thrown away, shares worked out who borrows where room is plenty, each answer planned a turn.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -163,7 +163,7 @@
             "partners": {"p": {"certificate": str(folder / "p.pem")}}}
         through, through_port = child("throughput", "--serve-pass", str(sink_port))
         relay, relay_port = await asyncio.get_running_loop().run_in_executor(
-            None, child, "throughput", "--serve-relay", json.dumps(settings), profile if signed else "")
+            None, child, "throughput", "--serve-relay", json.dumps(settings), profile if not signed else "")
         found: dict[str, Any] = {}
         for name, port in (("direct", sink_port), ("pass-through", through_port), ("relay", relay_port)):
             found[name] = await load(port, seconds, connections, receipt)
--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -306,6 +306,12 @@
 
     def _take(self, events: list[Event]) -> None:
         size = min(self._left, len(self._buf))
+        if size == len(self._buf):
+            if size:
+                events.append(Data(bytes(self._buf)))
+                self._buf.clear()
+                self._left -= size
+            return
         if size:
             with memoryview(self._buf) as view:
                 events.append(Data(bytes(view[:size])))
--- a/linnetstile/decisions/pace.py
+++ b/linnetstile/decisions/pace.py
@@ -69,7 +69,10 @@
         self.known: dict[str, Office] = {}
 
     def office(self, name: str) -> Office:
-        return self.known.setdefault(name, Office(name))
+        office = self.known.get(name)
+        if office is None:
+            office = self.known[name] = Office(name)
+        return office
 
     def began(self, now: float, name: str, token: int) -> None:
         self.office(name).out[token] = now
@@ -77,9 +80,9 @@
     def ended(self, now: float, name: str, token: int) -> None:
         office = self.office(name)
         took = now - office.out.pop(token, now)
-        weight = max(WEIGHT, 1 / (office.seen + 1))
-        office.mean_ms += weight * (took - office.mean_ms)
-        office.seen = min(office.seen + 1, 1000.0)
+        seen = office.seen + 1
+        office.mean_ms += (WEIGHT if seen > 1 / WEIGHT else 1 / seen) * (took - office.mean_ms)
+        office.seen = seen
 
     def usual(self) -> float:
         """Median slot time over the offices that have been seen enough, those not slow first."""
--- a/linnetstile/decisions/shares.py
+++ b/linnetstile/decisions/shares.py
@@ -82,9 +82,9 @@
         self.ring: deque[Party] = deque()  # leaves with a queue, in turn
         self.owed = 0  # asks that wait although below their fair part
         self.outsize: Charge | None = None  # the one message of more than half the room
-        self.counts = {"granted": 0, "borrowed": 0, "waited": 0, "expired": 0, "never": 0}
+        self.counts = {"granted": 0, "under_pressure": 0, "waited": 0, "expired": 0, "never": 0}
         self._weights: dict[tuple[str, str], float] = {}
-        self._freed = [0.0, 0.0]  # bytes and messages released, fading
+        self._freed = 0.0  # bytes released, fading
         self._freed_at = 0.0
 
     # -- parties -----------------------------------------------------------------------------------------
@@ -133,6 +133,9 @@
         charge = Charge(leaves, [0.0, 0.0])
         for leaf in leaves:
             leaf.charges += 1
+        if not self.ring and self._plenty((size, messages)):
+            self._lay(charge, (size, messages))
+            return Say.YES, charge
         say = self.more(now, charge, size, wait_ms, token, messages)
         if say is Say.NEVER:
             charge.released = True
@@ -147,6 +150,7 @@
             self.counts["never"] += 1
             return Say.NEVER
         if not charge.leaves[0].queue and self._fits(charge, more):
+            self.counts["under_pressure"] += 1
             self._lay(charge, more)
             return Say.YES
         self.counts["waited"] += 1
@@ -160,6 +164,8 @@
         return Say.WAIT
 
     def _fits(self, charge: Charge, more: tuple[float, float]) -> bool:
+        if not self.ring and self._plenty(more):
+            return True
         # Guards small messages: bodies that came in while few were active may hold all else for a while.
         small = charge.amount[BYTES] + more[BYTES] <= SMALL * self.room[BYTES]
         if self.held[BYTES] + more[BYTES] > (1.0 if small else 1 - LAST) * self.room[BYTES]:
@@ -173,6 +179,11 @@
         return not self.owed and all(
             self.held[what] + more[what] <= lent * self.room[what] for what in (BYTES, MESSAGES))
 
+    def _plenty(self, more: tuple[float, float]) -> bool:
+        """Room that anyone may borrow, as nobody waits: the usual case, and the quick way."""
+        held, room = self.held, self.room
+        return held[0] + more[0] <= LENT * room[0] and held[1] + more[1] <= LENT * room[1]
+
     def _borrows(self, charge: Charge, more: tuple[float, float]) -> bool:
         for leaf in charge.leaves:
             party: Party | None = leaf
@@ -185,20 +196,21 @@
     def _lay(self, charge: Charge, more: Sequence[float], sign: int = 1) -> None:
         if sign > 0:
             self.counts["granted"] += 1
-            self.counts["borrowed"] += self._borrows(charge, (more[0], more[1]))
             if charge.amount[BYTES] + more[BYTES] > OUTSIZE * self.room[BYTES]:
                 self.outsize = charge
         elif self.outsize is charge:
             self.outsize = None
-        for what in (BYTES, MESSAGES):
-            amount = sign * more[what]
-            charge.amount[what] += amount
-            self.held[what] += amount
-            for leaf in charge.leaves:
-                party: Party | None = leaf
-                while party is not None:
-                    party.held[what] += amount
-                    party = party.parent
+        size, messages = sign * more[0], sign * more[1]
+        for held in (charge.amount, self.held):
+            held[0] += size
+            held[1] += messages
+        for leaf in charge.leaves:
+            party: Party | None = leaf
+            while party is not None:
+                held = party.held
+                held[0] += size
+                held[1] += messages
+                party = party.parent
 
     def _count_owed(self) -> None:
         """Whether one of the first in the ring is below its fair part: then nothing is lent."""
@@ -211,11 +223,13 @@
         """Once for each charge, granted or still waiting."""
         assert not charge.released, "room given back twice"
         charge.released = True
-        fade = math.exp(min(0.0, self._freed_at - now) / FADE_MS)
-        self._freed = [freed * fade + amount for freed, amount in zip(self._freed, charge.amount, strict=True)]
-        self._freed_at = now
+        if now > self._freed_at:
+            self._freed *= math.exp((self._freed_at - now) / FADE_MS)
+            self._freed_at = now
+        self._freed += charge.amount[BYTES]
         self._lay(charge, list(charge.amount), -1)
-        self._unqueue(charge)
+        if charge.leaves[0].queue:
+            self._unqueue(charge)
         self._leave(charge.leaves)
 
     def _leave(self, leaves: tuple[Party, ...]) -> None:
@@ -280,7 +294,7 @@
     def advice_ms(self, now: float, size: float, longest_ms: float) -> float:
         """When there may be room for `size` more bytes, by how fast room came free of late: at least a second."""
         fade = math.exp(min(0.0, self._freed_at - now) / FADE_MS)
-        speed = max(self._freed[BYTES] * fade / FADE_MS, 1e-9)  # bytes a ms
+        speed = max(self._freed * fade / FADE_MS, 1e-9)  # bytes a ms
         return min(max(1000.0, size / speed), max(1000.0, longest_ms))
 
     def verify(self) -> None:
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import socket
 from collections import deque
@@ -70,7 +69,8 @@
         """Writes the answer; False if the client has gone. A second call is a fault of ours."""
         assert not self.answered, "a second answer to one request"
         self.answered = True
-        self.conn.server.release(self)
+        if self.charge is not None:
+            self.conn.server.release(self)
         return self.conn.answer(self, status, headers, body, close)
 
 
@@ -131,19 +131,23 @@
         self._work()
 
     def _parse(self, data: bytes | memoryview) -> None:
-        with contextlib.suppress(http1.ProtocolError):  # told by parser.failed, after what came before it
+        try:
             self.pending.extend(self.parser.feed(data, EVENTS))
+        except http1.ProtocolError:
+            return  # told by parser.failed, after what came before it
 
     def _work(self) -> None:
         self.planned = False
         if self.dead:  # a turn that was planned before the end: nothing of it would be given back
             return
         begun = 0
-        while not self.closing and not self.waiting and not self._complete() and not self.choked:
-            if not self.pending and self.parser.buffered and not self.parser.failed:
-                self._parse(b"")
+        while not (self.closing or self.waiting or self.read and self.current or self.blocked and self.choked):
             if not self.pending:
-                break
+                if not self.parser.buffered or self.parser.failed:
+                    break
+                self._parse(b"")
+                if not self.pending:
+                    break
             if begun >= REQUESTS:  # guards the others' turns against a peer that pipelines without end
                 self._plan()
                 break
@@ -168,9 +172,8 @@
         """Reads on, or not: what waits behind this connection's own request, answer or room is not taken in."""
         if self.dead or self.closing:
             return
-        bounds = self.server.bounds
         behind = len(self.pending) + self.parser.buffered // 512
-        full = self.waiting or self.choked or behind > bounds.pipelined
+        full = self.waiting or self.blocked and self.choked or behind > self.server.bounds.pipelined
         if full != self.paused:
             self.paused = full
             self.transport.pause_reading() if full else self.transport.resume_reading()
@@ -261,7 +264,7 @@
             self.read, self.current = False, None
         if close:
             self._finish(linger=early)
-        else:
+        elif self.pending or self.parser.buffered or self.paused or self.parser.failed:
             self._plan()
         return True
 
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -51,7 +51,7 @@
     timer: asyncio.TimerHandle | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Sorted(Origin):
     """A request's head, read once."""
 
@@ -446,7 +446,8 @@
     def _join(self, carried: Carried, exchange: server.Exchange) -> None:
         """Waits for the final answer, on this connection or by the receipt address."""
         exchange.body = b""  # held once, by the message
-        self.room.ended(exchange)
+        if exchange.charge is not None:
+            self.room.ended(exchange)
         if not carried.head.reply_to:
             carried.waiters.append(exchange)
         else:
--- a/linnetstile/service/room.py
+++ b/linnetstile/service/room.py
@@ -17,7 +17,7 @@
 LOOK_S = 0.25  # how often offices are looked at
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Origin:
     """Whose room a request asks for: tenant, the client's host or certificate, its AS2 name; and the partner."""
 
