Chains of holders are worked out once; fewer calls a write

For throughput: shares walked from leaf to root through attributes for both resources at each charge; each write asked the transport twice whether it was closing.

--- a/linnetstile/decisions/shares.py
+++ b/linnetstile/decisions/shares.py
@@ -42,6 +42,10 @@
     active: float = 0.0
     children: dict[str, Party] = field(default_factory=dict)
     queue: deque[Ask] = field(default_factory=deque)
+    chain: tuple[list[float], ...] = ()  # what it and those above it hold
+
+    def __post_init__(self) -> None:
+        self.chain = (self.held, *(self.parent.chain if self.parent is not None else ()))
 
     @property
     def idle(self) -> bool:
@@ -205,12 +209,9 @@
             held[0] += size
             held[1] += messages
         for leaf in charge.leaves:
-            party: Party | None = leaf
-            while party is not None:
-                held = party.held
+            for held in leaf.chain:
                 held[0] += size
                 held[1] += messages
-                party = party.parent
 
     def _count_owed(self) -> None:
         """Whether one of the first in the ring is below its fair part: then nothing is lent."""
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -14,7 +14,7 @@
 from .wire import Wire
 
 Address = tuple[str, int] | str  # or the path of a local socket
-Data = bytes | tuple[bytes, ...]
+Data = bytes | tuple[bytes, bytes]
 Secure = tuple[Keys, str]  # with which keys, and the name that the peer's certificate is to show
 
 
@@ -111,7 +111,7 @@
         self.came = self.counted = 0
         self.meter_in.rest()
         self.parser.expect(method)
-        self.put(*((data,) if isinstance(data, bytes) else data))
+        self.put(data) if isinstance(data, bytes) else self.put(*data)
         if self.transport.is_closing():  # the first write, into an empty buffer, failed as a whole
             self.call = call.conn = None
             return False
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -138,7 +138,7 @@
 
     def _work(self) -> None:
         self.planned = False
-        if self.dead:  # a turn that was planned before the end: nothing of it would be given back
+        if self.lost:  # a turn that was planned before the end: nothing of it would be given back
             return
         begun = 0
         while not (self.closing or self.waiting or self.read and self.current or self.blocked and self.choked):
@@ -170,11 +170,11 @@
 
     def _flow(self) -> None:
         """Reads on, or not: what waits behind this connection's own request, answer or room is not taken in."""
-        if self.dead or self.closing:
+        if self.closing:
             return
         behind = len(self.pending) + self.parser.buffered // 512
         full = self.waiting or self.blocked and self.choked or behind > self.server.bounds.pipelined
-        if full != self.paused:
+        if full != self.paused and not self.dead:
             self.paused = full
             self.transport.pause_reading() if full else self.transport.resume_reading()
 
--- a/linnetstile/net/wire.py
+++ b/linnetstile/net/wire.py
@@ -57,16 +57,16 @@
     def received(self, data: memoryview) -> None:
         raise NotImplementedError
 
-    def put(self, *pieces: bytes) -> None:
-        """Writes in order; big pieces are neither joined nor copied here."""
-        if self.dead:
+    def put(self, head: bytes, body: bytes = b"") -> None:
+        """Writes both in order; a big body is neither joined to its head nor copied here."""
+        if self.lost:
             return
-        size = sum(map(len, pieces))
+        size = len(head) + len(body)
         self.given += size
         if size <= SLICE and not self.queued and not self.blocked:
-            self.transport.write(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+            self.transport.write(head + body)
             return
-        self.queue.extend(memoryview(piece) for piece in pieces if piece)
+        self.queue.extend(memoryview(piece) for piece in (head, body) if piece)
         self.queued += size
         self._pump()
 
