Header fields are checked quicker: names seen before, values that are printable

Throughput under flow control. Each name and value went through a pattern on reading and on writing; now names known to be tokens are looked up (1024 at most), printable values pass, and line ends are counted.

--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -23,6 +23,19 @@
            503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
 
+# Names that are proper tokens, with their lower case: most messages have the same few. Bounded: peers choose names.
+_NAMES: dict[str, str] = {}
+_NAMES_MOST = 1024
+
+
+def _proper(name: str) -> bool:
+    if not TOKEN.match(name):
+        return False
+    if len(_NAMES) < _NAMES_MOST and len(name) <= 64:
+        _NAMES[name] = name.lower()
+    return True
+
+
 class ProtocolError(Exception):
     """The peer's bytes are not HTTP/1.1 as this codec takes it."""
 
@@ -39,7 +52,11 @@
         self.fields = list(fields)
         self._index: dict[str, list[str]] = {}
         for name, value in self.fields:
-            self._index.setdefault(name.lower(), []).append(value)
+            lower = _NAMES.get(name) or name.lower()
+            if lower in self._index:
+                self._index[lower].append(value)
+            else:
+                self._index[lower] = [value]
 
     def get(self, name: str, default: str = "") -> str:
         values = self._index.get(name.lower())
@@ -117,14 +134,13 @@
     for line in lines:
         if len(line) > limits.line:
             raise ProtocolError(431, f"a header line of more than {limits.line} bytes")
-        text = line.decode("latin-1")
-        name, colon, value = text.partition(":")
-        if text[:1] in (" ", "\t"):
+        name, colon, value = line.decode("latin-1").partition(":")
+        if name[:1] in (" ", "\t"):
             raise ProtocolError(400, "a folded header line")
-        if not colon or not TOKEN.match(name):
+        if not colon or name not in _NAMES and not _proper(name):
             raise ProtocolError(400, "a header line without a proper name before its colon")
         value = value.strip(" \t")
-        if FORBIDDEN.search(value):
+        if not value.isprintable() and FORBIDDEN.search(value):  # the first is quick, the second right
             raise ProtocolError(400, f"a control character in the value of {name}")
         found.append((name, value))
     return Headers(found)
@@ -208,7 +224,9 @@
         buf = self._buf
         end = buf.find(b"\r\n\r\n", max(0, self._scanned - 3))
         stop = min(limit, end + 4 if end >= 0 else len(buf))
-        if BARE_LF.search(buf, max(0, self._scanned - 1), stop) and BARE_LF.search(buf, 0, stop):
+        bare = buf.count(b"\n", 0, stop) != buf.count(b"\r\n", 0, stop) if end >= 0 else (
+            BARE_LF.search(buf, max(0, self._scanned - 1), stop) and BARE_LF.search(buf, 0, stop))
+        if bare:
             raise ProtocolError(400, "a line feed without a carriage return")
         self._scanned = len(buf)
         if (end < 0 and len(buf) >= limit) or end + 4 > limit:
@@ -219,7 +237,7 @@
         del buf[: end + 4]
         self._scanned = 0
         lines = block.split(b"\r\n")
-        if any(b"\r" in line for line in lines):
+        if block.count(b"\r") != len(lines) - 1:
             raise ProtocolError(400, "a carriage return without a line feed")
         return lines
 
@@ -377,7 +395,7 @@
 def _head(first: str, headers: Iterable[tuple[str, str]]) -> bytes:
     lines = [first]
     for name, value in headers:
-        if not TOKEN.match(name) or FORBIDDEN.search(value):
+        if name not in _NAMES and not _proper(name) or not value.isprintable() and FORBIDDEN.search(value):
             raise ValueError(f"header field {name!r} can't be sent")  # guards against splitting by our own hand
         lines.append(f"{name}: {value}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
