--- a/linnetstile/cli/relay.py
+++ b/linnetstile/cli/relay.py
@@ -8,7 +8,7 @@
 
 import click
 
-from .common import FILE, settings
+from .common import FILE, die, settings
 
 
 @click.command()
@@ -26,11 +26,15 @@
     SIGTERM ends it at once.
     """
     from ..config.relay import RelaySettings
-    from ..service.process import run
+    from ..service.process import check_files, run
     from ..telemetry.log import logger
 
     found = settings(file, RelaySettings)
     if check:
+        try:
+            check_files(found)
+        except (OSError, ValueError) as error:
+            die(2, f"{file}: {error}")
         click.echo(f"{file}: good")
         return
     sys.exit(asyncio.run(run(found, logger(log_level, relay=found.name), ready_file)))
--- a/linnetstile/net/tls.py
+++ b/linnetstile/net/tls.py
@@ -216,16 +216,17 @@
     def _make(self) -> ssl.SSLContext:
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER if self.server else ssl.PROTOCOL_TLS_CLIENT)
         context.minimum_version = ssl.TLSVersion.TLSv1_2
+        name = self.certificate
         try:
             if self.certificate is not None:
                 self._dated(self.certificate)
                 context.load_cert_chain(self.certificate, self.key, password=lambda: b"")
+            name = self.authorities
             if self.authorities is not None:
                 context.load_verify_locations(self.authorities)
             elif not self.server:
                 raise TlsError("no authorities to verify the peer with")
         except OSError as error:  # ssl.SSLError is one
-            name = self.authorities if "load_verify" in str(error) else self.certificate
             why = error.reason if isinstance(error, ssl.SSLError) and error.reason else error.strerror or str(error)
             raise TlsError(f"{name}: can't be used: {why}") from error
         if self.server and self.authorities is not None:
--- a/linnetstile/service/process.py
+++ b/linnetstile/service/process.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 from ..config.relay import RelaySettings
+from ..net.tls import Keys
 from ..telemetry import log as names
+from .receipts import Receipts
 from .relay import Service
 
 
@@ -32,6 +34,16 @@
     return settings
 
 
+def check_files(settings: RelaySettings) -> None:
+    """Loads every key and certificate that the settings name, as a start does; raises OSError or ValueError."""
+    Receipts(settings)
+    if settings.tls:
+        Keys(True, settings.tls.certificate, settings.tls.key, settings.tls.client_authorities)
+    for partner in settings.partners.values():
+        if partner.tls:
+            Keys(False, partner.tls.certificate, partner.tls.key, partner.tls.authorities)
+
+
 async def run(settings: RelaySettings, log: Any, ready: Path | None = None) -> int:
     """Runs until SIGTERM or SIGINT; a second one ends it at once. 0 = everything held was answered, 4 = not."""
     settings = fit_files(settings, log)
--- a/tests/service/test_process.py
+++ b/tests/service/test_process.py
@@ -72,3 +72,21 @@
             assert kind(answer) == "failed"
             assert b"1 attempt, the last one: receipt not signed by the partner" in answer.body
     run(test)
+
+
+@pytest.mark.parametrize(("more", "says"), [
+    ({"tls": {"certificate": "/nowhere/none.pem"}}, "/nowhere/none.pem: can't be used: No such file"),
+    ({"partners": {"firma": {"tls": {"authorities": "/nowhere/root.pem"}}}}, "/nowhere/root.pem: can't be used"),
+    ({"limits": {"slots": 1, "hold": 1, "hold_bytes": 70_000}}, "expected hold_bytes to be at least"),
+])
+def test_a_check_loads_what_the_settings_name(tmp_path: Path, more: dict[str, object], says: str) -> None:
+    from click.testing import CliRunner
+
+    from linnetstile.cli.relay import command
+
+    found = {"name": "r", "register": "http://127.0.0.1:1", "classes": {"a": {
+        "effect": "safe", "aim_ms": 1, "deadline_ms": 2}}, "rules": [{"class": "a"}],
+        "limits": {"slots": 1, "hold": 1}, **more}
+    (tmp_path / "relay.yaml").write_text(yaml.safe_dump(found))
+    told = CliRunner().invoke(command, [str(tmp_path / "relay.yaml"), "--check"])
+    assert told.exit_code == 2 and says in told.output
