A call that its partner read slowly is not judged by when the partner saw its end

The fuzz of peers broke one-out once in five runs: a stand-in that crawls sees the end of a call only behind all that it has not read, and the judge took the next attempt for a second one at once. Records name the connection of each row, so answers are matched exactly, and calls that crawl are marked; such an unseen end is not judged. Test for both.

--- a/tests/lab/test_check.py
+++ b/tests/lab/test_check.py
@@ -297,3 +297,18 @@
     assert r.broken() == {}
     r.partners = [row for row in r.partners if row["ev"] != "cut"]
     assert r.broken().keys() == {"effects", "one-out"}
+
+
+def test_the_end_of_a_call_that_the_partner_reads_slowly_is_not_judged_by_when_it_saw_it() -> None:
+    r = good()
+    r.hand(9000.0, "slow", "k")
+    r.call(9010.0, "slow", end=2000.0, status=0)
+    r.call(9800.0, "slow")
+    r.final(9900.0, "slow")
+    assert r.broken().keys() == {"one-out"}
+    for row in r.partners:
+        if row.get("mid") == "slow":
+            row["conn"] = 1 if row["t"] in (9010.0, 11010.0) else 2
+        if row["ev"] == "began" and row["t"] == 9010.0:
+            row["crawls"] = True
+    assert r.broken() == {}
