--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -504,7 +504,7 @@
         return max(lane.slot_ms, now - lane.out[0].since if lane.out else 0.0) * self.haste > CRAWL
 
     def _yields(self, now: float, lane: Lane) -> bool:
-        """Slots weighed by time: of the last quarter, those that crawl hold together an eighth of all at most.
+        """Slots weighed by time: of the last quarter, those that crawl hold an eighth of all at most.
         Guards quick ones, however many crawl."""
         scarce = len(self.lanes) > 1 and self.s.slots - self.busy <= self.s.slots // 4
         if not scarce or not self._crawls(now, lane):
