One piece where there were two: progress of peers, keys, parties, last words, names

Both ends of a connection had their own count of bytes moved and of patience (now in net/wire.py); keys were made in two places, of which the check's had forgotten need_client (load_keys); the parties of shares were walked in two places; 408 and 400 wrote their own last words; what an untaken request holds was given back by two copies; a URL check had a twin for https; log names of service/knowledge.py stood in their calls; two pattern matches over partner names were one; three benchmarks started children their own way. Offices.forget was called by nobody.

Work in the wrong place: a connection put off the body of each message for a turn of the loop, as the bound on pipelined requests counted events; now it looks at requests only.

--- a/benchmarks/attack.py
+++ b/benchmarks/attack.py
@@ -25,7 +25,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.common import child, end, parser, resident_mb, serve_forever, tell
+from benchmarks.common import child, end, parser, resident_mb, serve_forever, spawn, tell
 from linnetstile.codec import http1
 from linnetstile.config.relay import RelaySettings
 from linnetstile.net import client
@@ -150,12 +150,8 @@
 
 
 async def measure(seconds: float) -> dict[str, Any]:
-    import subprocess
-
-    stand = subprocess.Popen([sys.executable, "-m", "benchmarks.attack", "--serve-partners"], stdout=subprocess.PIPE,
-                             text=True)
-    assert stand.stdout is not None
-    ports = json.loads(stand.stdout.readline())["ports"]
+    stand, told = spawn("attack", "--serve-partners")
+    ports = told["ports"]
     register = RegisterStand(RegisterSpec.model_validate({"entries": [
         {"id": int(n), "partner": "quick" if n == "1" else "hangs", "url": f"http://127.0.0.1:{port}/as2",
          "status": "ready", "rate": 2000.0} for n, port in ports.items()]}))
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -12,12 +12,17 @@
 from typing import IO, Any
 
 
-def child(module: str, *args: str, log: IO[bytes] | None = None) -> tuple[subprocess.Popen[str], int]:
-    """Starts `python -m benchmarks.MODULE ARGS` and reads the line with its port."""
+def spawn(module: str, *args: str, log: IO[bytes] | None = None) -> tuple[subprocess.Popen[str], dict[str, Any]]:
+    """Starts `python -m benchmarks.MODULE ARGS` and reads the JSON line that tells how it is reached."""
     process = subprocess.Popen([sys.executable, "-m", f"benchmarks.{module}", *args], stdout=subprocess.PIPE,
                                stderr=log, text=True)
     assert process.stdout is not None
-    return process, json.loads(process.stdout.readline())["port"]
+    return process, json.loads(process.stdout.readline())
+
+
+def child(module: str, *args: str, log: IO[bytes] | None = None) -> tuple[subprocess.Popen[str], int]:
+    process, told = spawn(module, *args, log=log)
+    return process, told["port"]
 
 
 def end(process: subprocess.Popen[str]) -> float:
--- a/benchmarks/crawl.py
+++ b/benchmarks/crawl.py
@@ -19,13 +19,12 @@
 import json
 import random
 import statistics
-import subprocess
 import sys
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.common import child, end, parser, serve_forever, tell
+from benchmarks.common import child, end, parser, serve_forever, spawn, tell
 from linnetstile.codec import http1
 from linnetstile.net import client
 from linnetstile.standins import messages
@@ -56,10 +55,8 @@
 
 async def measure(slow: int, seed: int, seconds: float, quick: int) -> dict[str, Any]:
     from_ms = now_ms() + 1000 * (WARM_S + 2)  # two seconds to start
-    stand = subprocess.Popen([sys.executable, "-m", "benchmarks.crawl", "--serve-partners",
-                              json.dumps(partners(slow, seed, from_ms))], stdout=subprocess.PIPE, text=True)
-    assert stand.stdout is not None
-    ports = json.loads(stand.stdout.readline())["ports"]
+    stand, told = spawn("crawl", "--serve-partners", json.dumps(partners(slow, seed, from_ms)))
+    ports = told["ports"]
     register = RegisterStand(RegisterSpec.model_validate({"entries": [
         {"id": int(n), "partner": f"p{int(n) - 1}", "url": f"http://127.0.0.1:{port}/as2", "status": "ready",
          "rate": 100.0} for n, port in ports.items()]}))
--- a/linnetstile/config/relay.py
+++ b/linnetstile/config/relay.py
@@ -37,24 +37,16 @@
     return host.strip("[]"), int(port)
 
 
-def loopback_url(text: str) -> str:
+def loopback_url(text: str, schemes: tuple[str, ...] = ("http",)) -> str:
     parts = urllib.parse.urlsplit(text)
-    if parts.scheme != "http" or parts.username or parts.fragment:
-        raise ValueError("expected a URL such as http://127.0.0.1:4090/as2")
-    loopback(parts.netloc)
-    return text
-
-
-def partner_url(text: str) -> str:
-    parts = urllib.parse.urlsplit(text)
-    if parts.scheme not in ("http", "https") or parts.username or parts.fragment:
-        raise ValueError("expected a URL such as https://127.0.0.1:4090/as2")
+    if parts.scheme not in schemes or parts.username or parts.fragment:
+        raise ValueError(f"expected a URL such as {schemes[-1]}://127.0.0.1:4090/as2")
     loopback(parts.netloc)
     return text
 
 
 Address = Annotated[str, AfterValidator(loopback)]
-PartnerUrl = Annotated[str, AfterValidator(partner_url)]
+PartnerUrl = Annotated[str, AfterValidator(lambda text: loopback_url(text, ("http", "https")))]
 Url = Annotated[str, AfterValidator(loopback_url)]
 
 
--- a/linnetstile/decisions/pace.py
+++ b/linnetstile/decisions/pace.py
@@ -116,12 +116,6 @@
                 changed.append(office)
         return changed
 
-    def forget(self, names: Iterable[str]) -> None:
-        """Offices that are listed no more and have nothing out."""
-        for name in list(names):
-            if name in self.known and not self.known[name].out:
-                del self.known[name]
-
 
 @dataclass(frozen=True, slots=True)
 class Place(Generic[T]):
--- a/linnetstile/decisions/shares.py
+++ b/linnetstile/decisions/shares.py
@@ -11,7 +11,7 @@
 import itertools
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -120,6 +120,15 @@
             party.parent.active -= party.weight
             party = party.parent
 
+    def parties(self) -> Iterator[tuple[str, Party]]:
+        """Every party with the name of its tree; the roots, which are no party, are not among them."""
+        for tree, root in self.trees.items():
+            stack = list(root.children.values())
+            while stack:
+                party = stack.pop()
+                yield tree, party
+                stack += party.children.values()
+
     def fair(self, party: Party, what: int) -> float:
         """Its part of the room were all that are active now to use theirs."""
         part = self.room[what]
@@ -300,18 +309,15 @@
 
     def verify(self) -> None:
         """Asserts that the trees add up; for tests and a relay that checks itself."""
+        for party in (*self.trees.values(), *(party for _, party in self.parties())):
+            if party.children:
+                for what in (BYTES, MESSAGES):
+                    below = sum(child.held[what] for child in party.children.values())
+                    assert abs(below - party.held[what]) < 1e-3, f"{party.path()}: {below} is not {party.held}"
+                weight = sum(child.weight for child in party.children.values())
+                assert abs(weight - party.active) < 1e-6, f"weight below {party.path()}"
+            assert party.held[BYTES] > -1e-3 and party.waits >= 0, party.path()
+            assert party.parent is None or not party.idle, f"{party.path()}: kept for nothing"
         for root in self.trees.values():
-            stack = [root]
-            while stack:
-                party = stack.pop()
-                if party.children:
-                    for what in (BYTES, MESSAGES):
-                        below = sum(child.held[what] for child in party.children.values())
-                        assert abs(below - party.held[what]) < 1e-3, f"{party.path()}: {below} is not {party.held}"
-                    weight = sum(child.weight for child in party.children.values())
-                    assert abs(weight - party.active) < 1e-6, f"weight below {party.path()}"
-                assert party.held[BYTES] > -1e-3 and party.waits >= 0, party.path()
-                assert party.parent is None or not party.idle, f"{party.path()}: kept for nothing"
-                stack += party.children.values()
             assert abs(root.held[BYTES] - self.held[BYTES]) < 1e-3, "a tree lost a charge"
         assert self.held[BYTES] <= self.room[BYTES] + 1e-3, "more held than there is room"
--- a/linnetstile/lab/play.py
+++ b/linnetstile/lab/play.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import fnmatch
 import json
 import signal
 import sys
@@ -17,6 +16,7 @@
 
 from ..codec import cms
 from ..standins.record import now_ms
+from ..standins.script import named
 from .day import Day
 
 START_S = 20.0  # how long a process may take to tell its address
@@ -125,7 +125,7 @@
             "entries": entries, "changes": changes, "troubles": troubles})
 
     def _named(self, patterns: list[str]) -> list[dict[str, Any]]:
-        return [p for p in self.partners if any(fnmatch.fnmatchcase(p["name"], x) for x in patterns)]
+        return [p for p in self.partners if named(p["name"], patterns)]
 
     def _relay_file(self, name: str, register: str) -> Path:
         day = self.day
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -9,7 +9,6 @@
 
 from ..codec import http1
 from ..decisions.evidence import Sight
-from ..decisions.pace import Meter
 from .tls import Keys, Tls
 from .wire import Wire
 
@@ -87,10 +86,7 @@
         self.pieces: list[bytes] = []
         self.idle_since = 0.0
         self.began = pool.loop.time()  # of the call
-        self.came = self.counted = self.left = 0  # bytes received, seen by the meter, and gone out at the last look
-        rates = pool.rates
-        self.meter_out = Meter(rates.request, rates.grace_s * 1000)
-        self.meter_in = Meter(rates.response, rates.grace_s * 1000)
+        self.metered(pool.rates.response, pool.rates.request, pool.rates.grace_s)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -122,15 +118,13 @@
         """Which least rate the peer is below, if any; ticks the meters. Times in ms."""
         if self.call is None:
             return ""
+        went = self.went_out()
         if self.partial:
-            left = self.given - self.unsent
-            moved, self.left = left - self.left, left
-            return "request_rate" if self.meter_out.tick(now, moved) else ""
-        self.left = self.given
+            return "request_rate" if self.meter_out.tick(now, went) else ""
         self.meter_out.rest()
-        moved, self.counted = self.came - self.counted, self.came
+        came = self.came_in()
         # Until the first byte of an answer a peer works, and its time is the caller's to bound.
-        return "response_rate" if self.came and self.meter_in.tick(now, moved) else ""
+        return "response_rate" if self.came and self.meter_in.tick(now, came) else ""
 
     def received(self, data: memoryview) -> None:
         self.came += len(data)
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from ..codec import http1
-from ..decisions.pace import Meter, Place, giving_way
+from ..decisions.pace import Place, giving_way
 from .tls import Keys, Tls
 from .wire import Wire
 
@@ -97,11 +97,7 @@
         self.lingers: float | None = None
         self.dropped = 0  # bytes that came after the last answer
         self.tls: Tls | None = None
-        self.came = self.counted = 0  # bytes received, and those of them that the meter has seen
-        self.left = 0  # bytes that had left at the last look
-        bounds = server.bounds
-        self.meter_in = Meter(bounds.body_rate, bounds.grace_s * 1000)
-        self.meter_out = Meter(bounds.answer_rate, bounds.grace_s * 1000)
+        self.metered(server.bounds.body_rate, server.bounds.answer_rate, server.bounds.grace_s)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -148,7 +144,7 @@
                 self._parse(b"")
                 if not self.pending:
                     break
-            if begun >= REQUESTS:  # guards the others' turns against a peer that pipelines without end
+            if begun >= REQUESTS and isinstance(self.pending[0], http1.Request):  # guards the others' turns against a peer that pipelines without end
                 self._plan()
                 break
             event = self.pending.popleft()
@@ -271,9 +267,11 @@
     def _refuse(self, error: http1.ProtocolError) -> None:
         self.server.count("protocol_errors")
         self.server.on_error(self.peer(), error)
-        text = f"{error.text}\n".encode()
+        self._last_words(error.status, error.text)
+
+    def _last_words(self, status: int, text: str) -> None:
         headers = [("Content-Type", "text/plain"), ("Connection", "close")]
-        self.put(*http1.response_parts(error.status, headers, text))
+        self.put(*http1.response_parts(status, headers, f"{text}\n".encode()))
         self._finish(linger=True)
 
     def _finish(self, linger: bool = False) -> None:
@@ -308,11 +306,15 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self.server.drop(self)
-        if self.current is not None and not self.current.answered:
-            if not self._complete():  # never taken: what it held goes back
-                self.server.release(self.current)
-            if self.current.on_gone and not (self.eof and self._complete()):
-                self.current.on_gone()
+        self.give_back()
+        current = self.current
+        if current is not None and not current.answered and current.on_gone and not (self.eof and self._complete()):
+            current.on_gone()
+
+    def give_back(self) -> None:
+        """What a request holds that was never taken."""
+        if self.current is not None and not self.current.answered and not self._complete():
+            self.server.release(self.current)
 
     # -- bounds ------------------------------------------------------------------------------------------
 
@@ -346,19 +348,15 @@
     def overdue(self, now: float) -> str:
         """Which bound it is over, if any; ticks the meters."""
         bounds, phase = self.server.bounds, self.phase
-        if self.unsent:
-            left = self.given - self.unsent
-            moved, self.left = left - self.left, left
-            if self.meter_out.tick(now * 1000, moved):
-                return "answer_rate"
-        else:
-            self.left = self.given
+        went, came = self.went_out(), self.came_in()
+        if not self.unsent:
             self.meter_out.rest()
-        moved, self.counted = self.came - self.counted, self.came
+        elif self.meter_out.tick(now * 1000, went):
+            return "answer_rate"
         if self.current is not None and not self._complete() and (self.current.until or now) < now:
             return "body_time"
         if phase == "body" and not self.paused:
-            return "body_rate" if self.meter_in.tick(now * 1000, moved) else ""
+            return "body_rate" if self.meter_in.tick(now * 1000, came) else ""
         self.meter_in.at = None
         if self.lingers is not None:
             return "linger" if now - self.lingers > LINGER_S else ""
@@ -372,9 +370,7 @@
             if self.current is not None and not self.current.answered:
                 self.current.answered = True
                 self.server.release(self.current)
-            text = b"too slow: nothing of this request was taken\n"
-            self.put(*http1.response_parts(408, [("Content-Type", "text/plain"), ("Connection", "close")], text))
-            self._finish(linger=True)
+            self._last_words(408, "too slow: nothing of this request was taken")
         elif why == "idle":
             self._finish()
         else:
@@ -437,8 +433,7 @@
                 self.on_slow(other, "full")
             other.transport.abort()
             self.drop(other)
-            if other.current is not None and not other.current.answered:
-                self.release(other.current)  # now, and not when the loop tells it: the new one counts already
+            other.give_back()  # now, and not when the loop tells of its end: the new one counts already
             return True
         return False
 
--- a/linnetstile/net/wire.py
+++ b/linnetstile/net/wire.py
@@ -6,6 +6,8 @@
 from collections import deque
 from typing import Protocol, cast
 
+from ..decisions.pace import Meter
+
 # One buffer for all connections of a process: a selector loop fills it and hands it over within one callback, so it
 # is never in use twice. A buffer for each of 10,000 connections would hold 640 MB for nothing.
 _SHARED = memoryview(bytearray(64 * 1024))
@@ -40,6 +42,28 @@
     blocked = False  # the kernel has not taken all that the transport was given
     ending = False  # closes once all has been written
 
+    def metered(self, rate_in: float, rate_out: float, grace_s: float) -> None:
+        """Least rates in bytes a second (0 = none asked for) at which the peer is to send and to read."""
+        self.meter_in, self.meter_out = Meter(rate_in, grace_s * 1000), Meter(rate_out, grace_s * 1000)
+        self.came = self.counted = 0  # bytes received, and those of them that the meter has seen
+        self.left = 0  # bytes that had left at the last look
+
+    def came_in(self) -> int:
+        """Bytes received since the last look."""
+        came, self.counted = self.came - self.counted, self.came
+        return came
+
+    def went_out(self) -> int:
+        """Bytes that the kernel took since the last look."""
+        left = self.given - self.unsent
+        went, self.left = left - self.left, left
+        return went
+
+    @property
+    def patience(self) -> float:
+        """What the least rates have left of the stall that they forgive: 1 = all, 0 = about to be let go."""
+        return 1 - max(self.meter_in.spent, self.meter_out.spent) / self.meter_in.grace_ms
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(Transport, transport)
         # Told at once when the kernel takes no more, and when it has taken the last byte.
--- a/linnetstile/service/admin.py
+++ b/linnetstile/service/admin.py
@@ -13,10 +13,10 @@
 from typing import TYPE_CHECKING, Any
 
 from ..config.relay import split
-from ..decisions.shares import BYTES, MESSAGES, Party
+from ..decisions.shares import BYTES, MESSAGES
 from ..net import client, server
 from ..telemetry.metrics import Sample, page
-from .room import Origin
+from .room import origin_of
 
 if TYPE_CHECKING:
     from .relay import Service
@@ -84,12 +84,11 @@
         service, now = self.service, self.service.loop.time()
         rows = []
         for conn in service.server.open:
-            exchange = conn.current
-            origin = exchange.who if exchange is not None and isinstance(exchange.who, Origin) else None
+            origin = origin_of(conn.current)
             rows.append({
                 "side": "client", "peer": conn.peer(), "phase": conn.phase, "age_s": round(now - conn.opened, 1),
                 "phase_s": round(now - conn.since, 1), "read": conn.came, "unsent": conn.unsent,
-                "patience": round(1 - max(conn.meter_in.spent, conn.meter_out.spent) / conn.meter_in.grace_ms, 2),
+                "patience": round(conn.patience, 2),
                 "message": origin.message if origin else "", "sender": origin.sender if origin else "",
                 "partner": origin.partner if origin else ""})
         places = service.register.places.values()
@@ -101,7 +100,7 @@
                 "side": "partner", "peer": client.shown(out.address), "phase": phase,
                 "age_s": round(now - out.began, 1), "phase_s": round(now - out.began, 1), "read": out.came,
                 "unsent": out.unsent if not out.dead else 0,
-                "patience": round(1 - max(out.meter_in.spent, out.meter_out.spent) / out.meter_in.grace_ms, 2),
+                "patience": round(out.patience, 2),
                 "message": "", "sender": "", "partner": partners.get(out.address, "")})
         rows.sort(key=lambda row: (-float(str(row["phase_s"])), str(row["peer"])))
         phases = Counter(f"{row['side']} {row['phase']}" for row in rows)
@@ -115,7 +114,7 @@
         parties = [{"tree": tree, "party": party.path(), "bytes": int(party.held[BYTES]),
                     "messages": int(party.held[MESSAGES]), "waiting": party.waits, "weight": party.weight,
                     "fair_bytes": int(shares.fair(party, BYTES)), "fair_messages": int(shares.fair(party, MESSAGES))}
-                   for tree, party in self._parties()]
+                   for tree, party in shares.parties()]
         parties.sort(key=lambda row: -int(str(row["bytes"])))
         names = {number: name for name, number in service.register.partners.items()}
         out = Counter(carried.head.receiver for carried in service.carried.values() if carried.attempt is not None)
@@ -139,14 +138,6 @@
         rows.sort(key=lambda row: (row["slow_s"] is None, -int(str(row["slot_ms"]))))
         return {"usual_ms": round(offices.usual()), "total": len(rows), "rows": rows[:ROWS]}
 
-    def _parties(self) -> Iterator[tuple[str, Party]]:
-        for tree, root in self.service.room.shares.trees.items():
-            stack = list(root.children.values())
-            while stack:
-                party = stack.pop()
-                yield tree, party
-                stack += party.children.values()
-
     def samples(self) -> Iterator[Sample]:
         service = self.service
         shares, found = service.room.shares, self.connections()
--- a/linnetstile/service/knowledge.py
+++ b/linnetstile/service/knowledge.py
@@ -23,6 +23,7 @@
 from ..decisions.membership import TOLD_MAX, Membership
 from ..net import client, server
 from ..store import snapshot
+from ..telemetry import log as names
 
 FORMAT = 1
 ASK_S = 1.0  # a peer that takes longer has not answered: its ages could not be trusted, and traffic must not wait
@@ -198,14 +199,14 @@
             self.counts["no_answer"] += 1
             self.members.missed(self.now, peer)
             why = answer.sight.value if answer.head is None else str(answer.head.status)
-            self.log.info("knowledge_no_answer", peer=peer, why=why, standing=self._standing(peer))
+            self.log.info(names.KNOWLEDGE_NO_ANSWER, peer=peer, why=why, standing=self._standing(peer))
             return
         try:
             found = parse(answer.body)
         except ValueError as error:
             self.counts["unreadable"] += 1
             self.members.missed(self.now, peer)
-            self.log.warning("knowledge_unreadable", peer=peer, why=str(error))
+            self.log.warning(names.KNOWLEDGE_UNREADABLE, peer=peer, why=str(error))
             return
         self.counts["answered"] += 1
         another = self.members.heard(self.now, peer, found.run, found.peers)
@@ -221,7 +222,7 @@
         self.fleet[peer] = float(found.relays)
         self.peers_version[peer] = found.version
         if found.relays != self.relay.s.relays:
-            self.log.warning("knowledge_other_fleet", peer=peer, its=found.relays, own=self.relay.s.relays,
+            self.log.warning(names.KNOWLEDGE_OTHER_FLEET, peer=peer, its=found.relays, own=self.relay.s.relays,
                              taken="the own number for limits, the larger for learned outages")
         self.learn()
 
@@ -261,10 +262,12 @@
         cautions = [each for each in found if each.out_ms is not None or each.cold_ms is not None or each.wait_ms]
         self.counts["taken"] += len(found)
         if cautions:
-            self.log.info("knowledge_taken", sources=[source.name for source in sources], lanes=len(found), cautions=[
+            shown = [
                 {"partner": c.partner, "route": c.route, "out_ms": c.out_ms, "cold_ms": c.cold_ms, "wait_ms": c.wait_ms,
                  "sources": c.sources, "age_ms": round(c.age_ms) if c.age_ms < 1e12 else None}
-                for c in cautions[:20]])
+                for c in cautions[:20]]
+            self.log.info(names.KNOWLEDGE_TAKEN, sources=[source.name for source in sources], lanes=len(found),
+                          cautions=shown)
         for each in found:
             if len(self.taken) < LESSONS_KEPT or (each.partner, each.route) in self.taken:
                 row = {name: getattr(each, name) for name in each.__slots__}
@@ -283,14 +286,14 @@
             return
         except (snapshot.SnapshotError, ValueError) as error:
             aside = snapshot.set_aside(path)
-            self.log.warning("knowledge_snapshot_unusable", why=str(error), kept_as=str(aside))
+            self.log.warning(names.KNOWLEDGE_SNAPSHOT_UNUSABLE, why=str(error), kept_as=str(aside))
             return
         if age is None:
-            self.log.warning("knowledge_snapshot_ageless", file=str(path), why="the clock has gone back: not taken")
+            self.log.warning(names.KNOWLEDGE_SNAPSHOT_AGELESS, file=str(path), why="the clock has gone back: not taken")
             return
         self.few["snapshot"] = found.few_connections
         self.before = self.now, tuple(claim.claim().older(age) for claim in found.claims)
-        self.log.info("knowledge_snapshot_read", file=str(path), age_ms=round(age), claims=len(found.claims))
+        self.log.info(names.KNOWLEDGE_SNAPSHOT_READ, file=str(path), age_ms=round(age), claims=len(found.claims))
 
     def _write(self) -> None:
         """In a thread, one at a time: a slow disk holds up no message."""
@@ -309,7 +312,7 @@
         if error := job.exception():
             self.counts["snapshots_failed"] += 1
             if self.counts["snapshots_failed"] in (1, 10, 100, 1000):
-                self.log.error("knowledge_snapshot_failed", file=str(self.s.snapshot), why=str(error))
+                self.log.error(names.KNOWLEDGE_SNAPSHOT_FAILED, file=str(self.s.snapshot), why=str(error))
         else:
             self.counts["snapshots"] += 1
 
--- a/linnetstile/service/process.py
+++ b/linnetstile/service/process.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 from ..config.relay import RelaySettings
-from ..net.tls import Keys
 from ..telemetry import log as names
 from .receipts import Receipts
-from .relay import Service
+from .relay import Service, load_keys
 
 
 def fit_files(settings: RelaySettings, log: Any) -> RelaySettings:
@@ -37,11 +36,7 @@
 def check_files(settings: RelaySettings) -> None:
     """Loads every key and certificate that the settings name, as a start does; raises OSError or ValueError."""
     Receipts(settings)
-    if settings.tls:
-        Keys(True, settings.tls.certificate, settings.tls.key, settings.tls.client_authorities)
-    for partner in settings.partners.values():
-        if partner.tls:
-            Keys(False, partner.tls.certificate, partner.tls.key, partner.tls.authorities)
+    load_keys(settings)
 
 
 async def run(settings: RelaySettings, log: Any, ready: Path | None = None) -> int:
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -30,7 +30,7 @@
 from .knowledge import Knowledge
 from .receipts import Answer, Receipts
 from .register import Place, Register
-from .room import Origin, Room
+from .room import Origin, Room, origin_of
 
 # Hop by hop (RFC 9110, 7.6.1) or ours to say; all else of the client's head goes on as it came.
 NOT_FORWARDED = {"host", "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
@@ -95,6 +95,14 @@
     return Answer(status, tuple(headers), (text + "\n").encode(), kind)
 
 
+def load_keys(settings: RelaySettings) -> tuple[Keys | None, dict[str, Keys]]:
+    """The listener's, and by partner. Raises TlsError."""
+    tls = settings.tls
+    return (Keys(True, tls.certificate, tls.key, tls.client_authorities, tls.need_client) if tls else None,
+            {name: Keys(False, each.tls.certificate, each.tls.key, each.tls.authorities)
+             for name, each in settings.partners.items() if each.tls})
+
+
 class Service:
     """Start with `start`, stop with `stop`; `stopped` is set once nothing is held."""
 
@@ -119,11 +127,7 @@
             client.Rates(limits.request_rate, limits.response_rate, stall_s), self._slow_partner)
         self.room = Room(limits, module.hold, {name: t.weight for name, t in settings.tenants.items()}, log,
                          self._no_room)
-        tls = settings.tls
-        self.keys = Keys(True, tls.certificate, tls.key, tls.client_authorities, tls.need_client) if tls else None
-        self.partner_keys = {
-            name: Keys(False, each.tls.certificate, each.tls.key, each.tls.authorities)
-            for name, each in settings.partners.items() if each.tls}
+        self.keys, self.partner_keys = load_keys(settings)
         self.server = server.Server(
             self._request, self._head, bounds,
             server.Bounds(limits.connections, limits.head_ms / 1000, body_rate=limits.body_rate,
@@ -229,8 +233,7 @@
 
     def _slow_client(self, conn: server.Connection, why: str) -> None:
         self.count(f"let_go_{why}")
-        exchange = conn.current
-        origin = exchange.who if exchange is not None and isinstance(exchange.who, Origin) else None
+        origin = origin_of(conn.current)
         self.log.warning(names.LET_GO, peer=conn.peer(), bound=why, phase=conn.phase, read=conn.came,
                          message=origin.message if origin else "", sender=origin.sender if origin else "")
 
--- a/linnetstile/service/room.py
+++ b/linnetstile/service/room.py
@@ -32,6 +32,10 @@
         return (self.tenant, self.client, self.sender), (self.partner,)
 
 
+def origin_of(exchange: Exchange | None) -> Origin | None:
+    return exchange.who if exchange is not None and isinstance(exchange.who, Origin) else None
+
+
 class Room:
     """`refuse(exchange, text, advice_ms)` answers a request that waited in vain."""
 
@@ -72,21 +76,22 @@
         if say is Say.WAIT:
             self.waiting[exchange] = size
             self.log.debug(names.WAITS, peer=exchange.conn.peer(), message=origin.message, bytes=size,
-                           bound="hold_bytes" if self._full() else "share")
+                           bound=self._bound())
             self._plan_end()
         elif say is Say.NEVER:
             self._refused(exchange, size)
         return say is Say.YES
 
-    def _full(self) -> bool:
-        return self.shares.held[0] >= 0.99 * self.shares.room[0]
+    def _bound(self) -> str:
+        """Which bound keeps a request waiting, for people."""
+        return "hold_bytes" if self.shares.held[0] >= 0.99 * self.shares.room[0] else "share"
 
     def _refused(self, exchange: Exchange, size: int) -> None:
         origin = exchange.who
         assert isinstance(origin, Origin)
         advice = self.shares.advice_ms(self.now, size, self.limits.longest_advice_ms)
         self.log.warning(names.NO_ROOM, peer=exchange.conn.peer(), message=origin.message, sender=origin.sender,
-                         partner=origin.partner, bytes=size, bound="hold_bytes" if self._full() else "share",
+                         partner=origin.partner, bytes=size, bound=self._bound(),
                          why="no room within limits.room_wait_ms", advice_ms=round(advice))
         self.refuse(exchange, f"refused: no room for {size} bytes from {origin.sender or origin.client} "
                     f"to {origin.partner} now; nothing was taken", advice)
--- a/linnetstile/standins/script.py
+++ b/linnetstile/standins/script.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fnmatch
+from collections.abc import Iterable
 from typing import Literal
 
 from pydantic import Field
@@ -15,6 +16,10 @@
 OUTAGES = ("hang", "vanish", "shut", "crash")  # what a partner comes back from cold
 
 
+def named(partner: str, patterns: Iterable[str]) -> bool:
+    return any(fnmatch.fnmatchcase(partner, pattern) for pattern in patterns)
+
+
 class Fault(Strict):
     """One trouble at partners: from `at_s` for `for_s`, counted from the run's start."""
 
@@ -32,8 +37,7 @@
     how: Literal["silence", "reset"] = "silence"  # answer_lost
 
     def hits(self, partner: str, endpoint: int) -> bool:
-        named = any(fnmatch.fnmatchcase(partner, pattern) for pattern in self.partners)
-        return named and (not self.endpoints or endpoint in self.endpoints)
+        return named(partner, self.partners) and (not self.endpoints or endpoint in self.endpoints)
 
     def active(self, seconds: float) -> bool:
         return self.at_s <= seconds < self.at_s + self.for_s
--- a/linnetstile/telemetry/log.py
+++ b/linnetstile/telemetry/log.py
@@ -13,6 +13,14 @@
 # Flow control: a wait for room, a refusal for want of it, a connection let go, an office that holds slots for long.
 WAITS, NO_ROOM, LET_GO, SLOW, TRUSTED = "waits_for_room", "no_room", "let_go", "slow_partner", "partner_trusted_again"
 KEYS, FILES = "tls_keys", "open_files"
+KNOWLEDGE_NO_ANSWER = "knowledge_no_answer"
+KNOWLEDGE_OTHER_FLEET = "knowledge_other_fleet"
+KNOWLEDGE_SNAPSHOT_AGELESS = "knowledge_snapshot_ageless"
+KNOWLEDGE_SNAPSHOT_FAILED = "knowledge_snapshot_failed"
+KNOWLEDGE_SNAPSHOT_READ = "knowledge_snapshot_read"
+KNOWLEDGE_SNAPSHOT_UNUSABLE = "knowledge_snapshot_unusable"
+KNOWLEDGE_TAKEN = "knowledge_taken"
+KNOWLEDGE_UNREADABLE = "knowledge_unreadable"
 UNFINISHED, FAULT = "unfinished_at_stop", "fault"
 
 
