--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -144,8 +144,8 @@
                 self._parse(b"")
                 if not self.pending:
                     break
-            if begun >= REQUESTS and isinstance(self.pending[0], http1.Request):  # guards the others' turns against a peer that pipelines without end
-                self._plan()
+            if begun >= REQUESTS and isinstance(self.pending[0], http1.Request):
+                self._plan()  # guards the others' turns against a peer that pipelines without end
                 break
             event = self.pending.popleft()
             if isinstance(event, http1.Request):
