--- a/linnetstile/standins/partner.py
+++ b/linnetstile/standins/partner.py
@@ -111,12 +111,12 @@
                 conn.transport.resume_reading()
 
         def slowly(data: memoryview) -> None:
+            take(data)
             if conn.current is not exchange:  # the next requests of the connection are none of its business
                 conn.received = take  # type: ignore[method-assign]
-            elif self.partner.fault(self.spec.id, exchange.head.headers.get("subject")) == "crawl":
+            elif not conn.read and self.partner.fault(self.spec.id, exchange.head.headers.get("subject")) == "crawl":
                 conn.transport.pause_reading()
                 loop.call_later(len(data) / rate, again)
-            take(data)
 
         conn.received = slowly  # type: ignore[method-assign]
 
