--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -15,6 +15,7 @@
 TARGET = re.compile(r"[\x21-\x7e]+\Z")
 FORBIDDEN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")  # in a value: controls other than tab
 BARE_LF = re.compile(rb"(?<!\r)\n")
+CLAIM = re.compile(rb"HTTP/1\.[01] ([2-5]\d\d)(?:[ \r]|\Z)")
 CHUNK = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[\t\x20-\x7e\x80-\xff]*)?\Z")  # RFC 9112, 7.1
 REASONS = {100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 403: "Forbidden",
            404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 410: "Gone",
@@ -169,6 +170,7 @@
         self.limits = limits or Limits()
         self.methods: list[str] = []
         self.failed: ProtocolError | None = None
+        self._first = b""  # of the latest final response that was begun
         self._buf = bytearray()
         self._state = self._head
         self._scanned = 0
@@ -189,6 +191,17 @@
         """Bytes held that have not become an event yet."""
         return len(self._buf)
 
+    def _beginning(self) -> bytes:
+        """What the next response begins with, where its head is not complete."""
+        return bytes(self._buf[:32]) if self.client and self._state == self._head else b""
+
+    @property
+    def claimed(self) -> int:
+        """The status in the first line of a response whose rest has not come or can't be read; 0 = none so far. Only
+        for peers that mean that line whatever follows it."""
+        found = CLAIM.match(self._first or self._beginning())
+        return int(found[1]) if found else 0
+
     def feed(self, data: bytes | memoryview, most: int = 1 << 30) -> list[Event]:
         """The events that these bytes complete; raises `ProtocolError` for good from the first fault on. With `most`
         it stops after about so many: `feed(b"")` goes on, which bounds the time that one peer's bytes take."""
@@ -201,6 +214,7 @@
                 pass
         except ProtocolError as error:
             self.failed = error
+            self._first = self._first or self._beginning()
             self._buf.clear()
             if not events:
                 raise
@@ -257,6 +271,7 @@
         if len(lines[0]) > self.limits.line:
             raise ProtocolError(431, f"a first line of more than {self.limits.line} bytes")
         first = lines[0].decode("latin-1")
+        self._first = lines[0][:32] if self.client else b""
         return self._response(first, lines, events) if self.client else self._request(first, lines, events)
 
     def _request(self, first: str, lines: list[bytes], events: list[Event]) -> bool:
@@ -285,6 +300,7 @@
         if not self.methods:
             raise ProtocolError(400, "a response that nobody asked for")
         if 100 <= status < 200:
+            self._first = b""
             return True  # interim: the final one follows (RFC 9110, 15.2); an upgrade was never asked for
         method = self.methods.pop(0)
         framing = self._framing(version, headers)
@@ -338,6 +354,7 @@
 
     def _finish(self, events: list[Event], trailers: Headers) -> bool:
         events.append(End(trailers))
+        self._first = b""
         self._state, self._scanned = self._head, 0
         return True
 
--- /dev/null
+++ b/linnetstile/decisions/bounds.py
@@ -0,0 +1,37 @@
+"""How a relay on the platform divides what it may use, and how long it waits for peers. No I/O and no clock."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+HEAD_S = 2.0  # a request is complete, or its client gets an error: the platform owes bad clients one within 3 s
+IDLE_S = 2.5  # a connection without an open request is kept so long: the platform lets it be closed after 2 s
+QUIET_S = 7.0  # a watch of discovery is opened anew after so long a silence: three of its empty lines
+SETTLE_S = 1.0  # a start waits so long for discovery's list before it makes do with the known one
+NOTICE_S = 1.0  # one post of notices may take so long: the platform answers at once
+BODY = 64 * 1024  # bytes, the platform's bound on a body
+HEAD = 16 * 1024  # bytes of a head
+LONGEST_LEFT = 4.0  # a time left beyond so many deadlines of its class is an error of the client
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Counts of descriptors, and bytes on disk."""
+
+    clients: int  # connections of clients
+    idle: int  # connections to endpoints that are kept and carry nothing
+    live: int  # bytes of messages that are held: more is refused
+    log: int  # bytes of the journal from which on it is written anew
+
+
+def bounds(sockets: int, disk: float, slots: int) -> Bounds:
+    """Half the descriptors for clients, who use a third for requests; a quarter at most stays for idle endpoints'
+    connections. The journal and its next version fit on the disk together."""
+    clients = max(8, min(sockets // 2, sockets - 4 * slots - 32))
+    return Bounds(clients, max(slots, min(4 * slots, sockets // 4)), int(disk / 4), int(disk / 2))
+
+
+def pause_ms(fails: int, first: float, most: float, rng: random.Random) -> float:
+    """Growing, jittered pause before discovery or the platform is asked again after `fails` failures in a row."""
+    return float(min(most, first * 2 ** min(fails - 1, 16)) * rng.uniform(0.5, 1.0))
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -9,8 +9,8 @@
 
 from .interface import (
     Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Listing, ListKind,
-    Message, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, Shared, TimerFired, WatchList,
-    Withdrawn,
+    Message, Outcome, Rates, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared, TimerFired,
+    WatchList, Withdrawn,
 )
 from .state import NEVER, Board, Call, Door, Flow, Held, Lane
 
@@ -82,6 +82,8 @@
             match event:
                 case Message():
                     self._accept(now_ms, event)
+                case Resumed():
+                    self._resume(now_ms, event)
                 case AttemptEnded():
                     self._ended(now_ms, event, acts)
                 case EndpointList():
@@ -179,6 +181,19 @@
         self.board.add(held)
         self._wait(held)
 
+    def _resume(self, now: float, event: Resumed) -> None:
+        """What was taken on before a restart goes on as if there had been none: a call that was out then is an
+        unclear outcome, and the gate of every send decides by effect, window, attempts and time left."""
+        held = Held(event.message, self.s.classes[event.message.class_], now - event.age_ms,
+                    now + event.message.left_ms, 0.0, now, tries=event.tries, risk=event.risk)
+        held.worth = held.cls.worth
+        if event.risk_ms is not None:
+            held.first_risk = now - event.risk_ms
+        if event.tries:  # jittered: all that was out then would come at once
+            held.ready = now + RETRY_MS * self.rng.uniform(0.0, 1.0)
+        self.board.add(held)
+        self._wait(held)
+
     def _wait(self, held: Held) -> None:
         """Puts a message into its queue, until a send or its last moment, whichever comes first."""
         held.last = self._last(held)
--- a/linnetstile/decisions/evidence.py
+++ b/linnetstile/decisions/evidence.py
@@ -58,6 +58,7 @@
     reason: str
     finished: bool = False
     wait_ms: float = 0.0
+    no_slot: bool = False
 
 
 SIGHTS = {
@@ -98,3 +99,20 @@
     if not seen.whole:
         return Proof(Outcome.CONNECT_FAILED, f"{seen.status} before the request was whole: nothing can have run")
     return Proof(Outcome.ERROR, f"{seen.status}: may have run")
+
+
+def endpoint_proof(seen: Seen, claimed: int = 0, no_slot: bool = False) -> Proof:
+    """The row for a call to an endpoint of the platform, whose page gives these rows. `claimed` is the status in a
+    first line whose rest is spoilt: 200 holds all the same, no other one does. `no_slot`: 503 told that all slots of
+    this relay were taken."""
+    if claimed == 200 or seen.sight is Sight.ANSWERED and seen.status == 200:
+        return Proof(Outcome.OK, "200: delivered", True)
+    if seen.sight is not Sight.ANSWERED:
+        return SIGHTS[seen.sight]
+    if seen.status == 503 and no_slot:
+        return Proof(Outcome.NOT_SENT, "503: all slots of this relay are taken", no_slot=True)
+    if seen.status == 504:
+        return Proof(Outcome.NOT_SENT, "504: had all its attempts; its end is owed")
+    if seen.status == 410:
+        return Proof(Outcome.NOT_SENT, "410: it is over; nothing more is owed", True)
+    return proof(seen)
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -205,6 +205,17 @@
     from_dead_relay: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Resumed:
+    """A message that an earlier process of this relay had taken on and not ended. Ages are by the clock on the wall."""
+
+    message: Message  # its time left is as of now
+    age_ms: float  # since it was handed in
+    tries: int = 0  # attempts that were begun
+    risk_ms: float | None = None  # since the first attempt that may have run began; None = none may have
+    risk: Endpoint | None = None  # where that was
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     id: int
@@ -267,7 +278,7 @@
     lanes: tuple[tuple[int, int], ...]
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Learned, Shared]
+Event = Union[EndpointList, Message, Resumed, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Learned, Shared]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,7 +13,10 @@
 from .tls import Keys, Tls
 from .wire import Wire
 
-Address = tuple[str, int] | str  # or the path of a local socket
+# Host and port, or the path of a local socket; the third part of a longer one tells peers apart that use one address
+# one after the other: a connection to the one that has gone is never used for its successor.
+Address = tuple[str, int] | tuple[str, int, int] | str
+TAIL_S = 1.0  # what is left of an answer that counts already may take so long, or its connection goes
 Data = bytes | tuple[bytes, bytes]
 Secure = tuple[Keys, str]  # with which keys, and the name that the peer's certificate is to show
 
@@ -33,12 +37,14 @@
 @dataclass(frozen=True, slots=True)
 class Answer:
     """How a call ended; `head` and `body` only where it was answered. `whole`: the last byte of the request had left
-    this process, so that the peer may have had all of it."""
+    this process, so that the peer may have had all of it. `claimed`: the status in the first line of an answer whose
+    rest has not come or can't be read; 0 = none can be read."""
 
     sight: Sight
     head: http1.Response | None = None
     body: bytes = b""
     whole: bool = True
+    claimed: int = 0
 
 
 class Call:
@@ -68,12 +74,14 @@
             self.connecting.cancel()
             sight = Sight.NO_CONNECTION
         conn, self.conn = self.conn, None
+        claimed = 0
         if conn:
             conn.call = None
+            claimed = conn.parser.claimed
             if conn.partial:  # what is left of the request goes with the connection: it never was whole
                 sight = Sight.CUT
             conn.transport.abort()
-        self.finish(Answer(sight))
+        self.finish(Answer(sight, claimed=claimed))
 
 
 class ClientConnection(Wire):
@@ -85,6 +93,8 @@
         self.head: http1.Response | None = None
         self.pieces: list[bytes] = []
         self.idle_since = 0.0
+        self.used = False
+        self.secure = False
         self.began = pool.loop.time()  # of the call
         self.metered(pool.rates.response, pool.rates.request, pool.rates.grace_s)
 
@@ -98,9 +108,24 @@
         an AS2 message has its digest over all of it."""
         return self.blocked or self.queued > 0
 
+    def began_to_speak(self) -> bool:
+        """The kernel holds bytes or the end of a connection on which nothing is out. Guards the next request against
+        the rest of an answer that brought too much, and against a connection that its peer has closed."""
+        if not self.used or self.secure:  # under TLS there may be records that are not for us
+            return False
+        socket = self.transport.get_extra_info("socket")
+        if socket is None:
+            return False
+        poll = select.poll()
+        poll.register(socket.fileno(), select.POLLIN)  # type: ignore[attr-defined]
+        if not poll.poll(0):
+            return False
+        self.transport.abort()
+        return True
+
     def send(self, call: Call, method: str, data: Data) -> bool:
         """False if not a byte left: the connection had died, or the first write met that it has."""
-        if self.dead:
+        if self.dead or self.began_to_speak():
             return False
         self.call, call.conn = call, self
         self.began = self.pool.loop.time()
@@ -111,7 +136,7 @@
         if self.transport.is_closing():  # the first write, into an empty buffer, failed as a whole
             self.call = call.conn = None
             return False
-        call.written = True
+        call.written = self.used = True
         return True
 
     def overdue(self, now: float) -> str:
@@ -136,8 +161,19 @@
         except http1.ProtocolError:
             events = []
         self._take(events)
-        if self.parser.failed and self.call is not None:
-            self.call.abort(Sight.GARBLED)
+        call = self.call
+        if call is None:
+            return
+        if self.pool.eager and call.done is not None and self._counts():
+            # Its first line is true whatever follows: the peer's slot is free, and so is ours. The rest is only read
+            # to see whether the connection can be used again.
+            call.finish(Answer(Sight.ANSWERED, self.head, b"", not self.partial, self.parser.claimed))
+            call.timer = self.pool.loop.call_later(TAIL_S, call.abort, Sight.TIMED_OUT)
+        if self.parser.failed:
+            call.abort(Sight.GARBLED)
+
+    def _counts(self) -> bool:
+        return (self.head.status if self.head is not None else self.parser.claimed) == 200
 
     def _take(self, events: list[http1.Event]) -> None:
         for event in events:
@@ -155,7 +191,7 @@
         assert call is not None and head is not None
         call.conn = None
         partial = self.partial  # an answer that came before the request was out
-        if head.keep_alive and self.parser.idle and not partial and not self.dead:
+        if head.keep_alive and self.parser.idle and not self.parser.failed and not partial and not self.dead:
             self.pool.keep(self)
         else:
             self.transport.abort() if partial else self.transport.close()
@@ -175,14 +211,17 @@
         call, self.call = self.call, None
         if call is not None:
             call.conn = None
-            call.finish(Answer(Sight.CUT if partial else Sight.LOST))
+            call.finish(Answer(Sight.CUT if partial else Sight.LOST, claimed=self.parser.claimed))
 
 
 class Pool:
-    """Keeps idle connections for `idle_s` at most, newest first; counters in `counts`."""
+    """Keeps idle connections for `idle_s` at most and `most_idle` of them, newest first; counters in `counts`. An
+    `eager` one tells of a 200 as soon as its first line can be read (the platform's peers mean it)."""
 
     def __init__(self, connect_s: float = 3.0, idle_s: float = 15.0, limits: http1.Limits | None = None,
-                 rates: Rates | None = None, on_slow: Callable[[ClientConnection, str], None] | None = None) -> None:
+                 rates: Rates | None = None, on_slow: Callable[[ClientConnection, str], None] | None = None,
+                 eager: bool = False, most_idle: int = 1 << 30) -> None:
+        self.eager, self.most_idle = eager, most_idle
         self.loop = asyncio.get_running_loop()
         self.connect_s = connect_s
         self.idle_s = idle_s
@@ -190,6 +229,7 @@
         self.rates = rates or Rates()
         self.on_slow = on_slow or (lambda conn, why: None)
         self.idle: dict[Address, list[ClientConnection]] = {}
+        self.resting = 0  # idle connections
         self.open: set[ClientConnection] = set()
         self.counts = {"connects": 0, "reused": 0, "failed": 0, "no_descriptors": 0}
         self._every = 0.25 if self.rates.request or self.rates.response else 1.0
@@ -204,6 +244,7 @@
         idle = self.idle.get(address, [])
         while idle:
             conn = idle.pop()
+            self.resting -= 1
             if conn.send(call, method, data):
                 self.counts["reused"] += 1
                 return call
@@ -246,8 +287,9 @@
             await self.loop.create_unix_connection(lambda: conn, address)
             return conn
         if secure is None:
-            await self.loop.create_connection(lambda: conn, *address)
+            await self.loop.create_connection(lambda: conn, address[0], address[1])
             return conn
+        conn.secure = True
         ready: asyncio.Future[str | None] = self.loop.create_future()
         keys, name = secure
 
@@ -255,7 +297,8 @@
             if not ready.done():
                 ready.set_result(why)
 
-        await self.loop.create_connection(lambda: Tls(conn, keys.context, False, name, told), *address)
+        await self.loop.create_connection(lambda: Tls(conn, keys.context, False, name, told), address[0],
+                                          address[1])
         try:
             why = await ready
         except asyncio.CancelledError:
@@ -269,17 +312,24 @@
     def keep(self, conn: ClientConnection) -> None:
         conn.idle_since = self.loop.time()
         self.idle.setdefault(conn.address, []).append(conn)
+        self.resting += 1
+        if self.resting > self.most_idle:
+            oldest = min((idle[0] for idle in self.idle.values()), key=lambda each: each.idle_since)
+            self.drop(oldest)
+            oldest.transport.close()
 
     def drop(self, conn: ClientConnection) -> None:
         self.open.discard(conn)
         idle = self.idle.get(conn.address, [])
         if conn in idle:
             idle.remove(conn)
+            self.resting -= 1
         if not idle:
             self.idle.pop(conn.address, None)
 
     def close_idle(self, address: Address) -> int:
         conns = self.idle.pop(address, [])
+        self.resting -= len(conns)
         for conn in conns:
             conn.transport.close()
         return len(conns)
--- /dev/null
+++ b/linnetstile/node/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m linnetstile.node`: one relay, as the platform starts it."""
+
+import sys
+
+from .process import main
+
+sys.exit(main())
--- /dev/null
+++ b/linnetstile/node/calls.py
@@ -0,0 +1,66 @@
+"""Calls to endpoints in the platform's words. What an end proves is asked of `decisions/evidence`."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable
+
+from ..codec import http1
+from ..decisions.bounds import BODY, HEAD, Bounds
+from ..decisions.evidence import Proof, Seen, endpoint_proof
+from ..net import client
+from .config import NodeSettings
+from .discovery import Place
+
+Done = Callable[[Proof, tuple[float, ...]], None]
+
+
+def wait_ms(headers: http1.Headers) -> float | None:
+    """Retry-After of an endpoint: seconds, whole or decimal."""
+    try:
+        value = float(headers.get("retry-after")) * 1000
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
+
+
+def report(headers: http1.Headers, names: tuple[str, ...]) -> tuple[float, ...]:
+    """The load report in the order of the settings; empty if there is none that can be read."""
+    text = headers.get("x-backend-load") if names else ""
+    try:
+        told = json.loads(text) if text else {}
+        values = tuple(float(told[name]) for name in names)
+    except (ValueError, KeyError, TypeError):
+        return ()
+    return values if all(map(math.isfinite, values)) else ()
+
+
+class Calls:
+    def __init__(self, settings: NodeSettings, bounds: Bounds) -> None:
+        module = settings.module
+        self.names = settings.report
+        idle_s = module.idle_ms * 0.9 / 1000 if module.idle_ms else 5.0  # the module counts on so much, see `_door`
+        self.pool = client.Pool(module.connect_timeout_ms / 1000 or 1.5, idle_s,
+                                http1.Limits(body=BODY, head=HEAD), eager=True, most_idle=bounds.idle)
+
+    def send(self, place: Place, fields: list[tuple[str, str]], body: bytes, left_ms: float, done: Done) -> client.Call:
+        """Begins one attempt that is given up after `left_ms`; `done` is called once, and not from within."""
+        headers = [("Host", f"{place.host}:{place.port}"), ("X-Time-Left", f"{max(1, int(left_ms))}m"), *fields]
+        until = self.pool.loop.time() + max(0.0, left_ms) / 1000
+
+        def ended(answer: client.Answer) -> None:
+            head = answer.head
+            seen = Seen(answer.sight, head.status if head else 0, wait_ms(head.headers) if head else None,
+                        whole=answer.whole)
+            no_slot = head is not None and head.headers.get("slots-taken") == "1"
+            done(endpoint_proof(seen, answer.claimed, no_slot), report(head.headers, self.names) if head else ())
+
+        return self.pool.call((place.host, place.port, place.number), "POST",
+                              http1.request_parts("POST", "/events", headers, body), ended, until)
+
+    def close_idle(self, place: Place) -> None:
+        self.pool.close_idle((place.host, place.port, place.number))
+
+    def close(self) -> None:
+        self.pool.close()
--- /dev/null
+++ b/linnetstile/node/config.py
@@ -0,0 +1,100 @@
+"""What the platform tells a relay: GW_CONFIG names a JSON file; the other GW_ variables fill what it leaves out."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..config import platform
+from ..decisions import interface as api
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """One line: the file or variable, the field, what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    sockets: int = 1024
+    memory_mb: float = 192.0
+    disk_mb: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    limits: Limits
+    known: dict[str, Any]  # in discovery's form; may be old
+    module: api.Settings
+    zones: tuple[str, ...]
+    report: tuple[str, ...] = ()  # names in a load report, in the module's order
+
+
+def address(text: object, where: str) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{where}: expected HOST:PORT, found {text!r}")
+    return host, int(port)
+
+
+def _limit(raw: Mapping[str, Any], name: str, default: float, least: float) -> float:
+    value = raw.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
+        raise ConfigError(f"limits.{name}: expected a number of {least:g} or more, found {value!r}")
+    return float(value)
+
+
+def load(environ: Mapping[str, str]) -> NodeSettings:
+    """Reads and checks all of it. Raises ConfigError."""
+    path = environ.get("GW_CONFIG", "")
+    if not path:
+        raise ConfigError("GW_CONFIG: expected the path of the configuration file, found nothing")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"GW_CONFIG: {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"{path}: expected JSON: {error}") from error
+    try:
+        return _settings(raw, environ)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _settings(raw: Any, environ: Mapping[str, str]) -> NodeSettings:
+    if not isinstance(raw, dict):
+        raise ConfigError("expected an object")
+    for field in ("limits", "known", "settings"):
+        if not isinstance(raw.get(field, {}), dict):
+            raise ConfigError(f"{field}: expected an object")
+    limits, settings = raw.get("limits", {}), raw.get("settings", {})
+    state = environ.get("GW_STATE", "")
+    if not state:
+        raise ConfigError("GW_STATE: expected the path of the folder that lasts, found nothing")
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected a hexadecimal number, found {raw['seed']!r}") from None
+    feedback = settings.get("feedback", {})
+    fields = feedback.get("fields", []) if isinstance(feedback, dict) else []
+    try:
+        module = platform.settings_from(settings)
+    except platform.SettingsError as error:
+        raise ConfigError(f"settings: {error}") from error
+    return NodeSettings(
+        str(raw.get("name") or environ.get("GW_NAME", "relay")),
+        address(raw.get("listen") or environ.get("GW_LISTEN"), "listen"),
+        address(raw.get("discovery") or environ.get("GW_DISCOVERY"), "discovery"), Path(state), seed,
+        Limits(int(_limit(limits, "sockets", 1024, 64)), _limit(limits, "memory_mb", 192, 1),
+               _limit(limits, "disk_mb", 3, 0.01)),
+        raw.get("known", {}), module, tuple(str(zone) for zone in settings.get("zones", ())),
+        tuple(str(name) for name in fields))
--- /dev/null
+++ b/linnetstile/node/front.py
@@ -0,0 +1,145 @@
+"""The platform's clients: one message a request. Reads a head into a hand-in or one error; answers as it is told."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..codec import http1
+from ..decisions import interface as api
+from ..decisions.bounds import BODY, HEAD, HEAD_S, IDLE_S, LONGEST_LEFT, Bounds
+from ..net import server
+
+IDENT = re.compile(r"[\x21-\x7e]{1,128}\Z")
+LEFT = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])\Z")
+DEST = re.compile(r"(?:^|[;,]\s*)dest=(\d{1,9})\s*(?:[;,]|\Z)")
+
+
+class BadRequest(Exception):
+    """A hand-in that can't be read: the status and one sentence."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+@dataclass(slots=True)
+class HandIn:
+    """A client's head, read."""
+
+    ident: str
+    class_: int
+    tenant: int
+    destination: int
+    key: str
+    left_ms: float  # from the first byte of the request on
+    again: bool
+    from_dead: bool
+
+
+class Reader:
+    """Heads of one deployment: the names of its classes and tenants are those of the settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.classes = {cls.name: number for number, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
+        self.settings = settings
+
+    def read(self, head: http1.Request) -> HandIn:
+        """Raises BadRequest."""
+        headers = head.headers
+
+        def one(name: str) -> str:
+            values = headers.all(name)
+            if len(values) != 1 or not values[0]:
+                raise BadRequest(400, f"{name}: expected once")
+            return values[0]
+
+        ident = one("X-Correlation-Id")
+        if not IDENT.match(ident):
+            raise BadRequest(400, "X-Correlation-Id: expected at most 128 visible characters")
+        class_ = self.classes.get(one("X-Service-Class"))
+        if class_ is None:
+            raise BadRequest(400, "X-Service-Class: no such class")
+        tenant = self.tenants.get(one("X-Account")) if self.tenants else 0
+        if tenant is None:
+            raise BadRequest(400, "X-Account: no such account")
+        cls = self.settings.classes[class_]
+        left = LEFT.match(one("X-Time-Left"))
+        if not left:
+            raise BadRequest(400, "X-Time-Left: expected a number and m or u")
+        left_ms = float(left[1]) / (1000.0 if left[2] == "u" else 1.0)
+        if left_ms > LONGEST_LEFT * cls.deadline_ms:
+            raise BadRequest(400, "X-Time-Left: longer than any message of its class has")
+        dest = DEST.search(one("Envelope"))
+        if not dest:
+            raise BadRequest(400, "Envelope: expected dest=NUMBER")
+        keys = headers.all("Idempotency-Key")
+        keyed = cls.effect is api.Effect.KEYED or cls.in_order
+        if len(keys) > 1 or keys and not IDENT.match(keys[0]) or keyed and not keys:
+            raise BadRequest(400, "Idempotency-Key: expected once in this class, at most 128 visible characters")
+        repeat = headers.get("X-Repeat")
+        return HandIn(ident, class_, tenant, int(dest[1]), keys[0] if keys else "", left_ms,
+                      repeat == "1", repeat.lower() == "again")
+
+
+Take = Callable[[server.Exchange, HandIn], None]
+
+
+def answer(exchange: server.Exchange, status: int, text: str = "", close: bool = False,
+           wait_ms: float = 0.0) -> bool:
+    """False if the client has gone."""
+    fields = [("Retry-After", f"{wait_ms / 1000:.3f}")] if wait_ms > 0 else []
+    return exchange.reply(status, fields, f"{text}\n".encode() if text else b"", close)
+
+
+class Front:
+    """Listens for clients; `take` gets each hand-in that can be read. `ready` and `closing` are asked each time."""
+
+    def __init__(self, settings: api.Settings, bounds: Bounds, take: Take, ready: Callable[[], bool],
+                 closing: Callable[[], bool]) -> None:
+        self.reader = Reader(settings)
+        self.take, self.ready, self.closing = take, ready, closing
+        self.server = server.Server(
+            self._request, self._head, http1.Limits(line=4096, head=HEAD, fields=64, body=BODY),
+            server.Bounds(bounds.clients, HEAD_S, IDLE_S, pipelined=8, write_bytes=BODY, sweep_s=0.25))
+        self.bad = 0  # requests that were answered with an error of the client's
+
+    def _head(self, exchange: server.Exchange) -> None:
+        """Refuses by the head alone what can be: a bad client's body is not worth reading."""
+        head = exchange.head
+        path = head.target.partition("?")[0]
+        # The whole request is owed to us by then, or an error to its client.
+        exchange.until = exchange.began + HEAD_S
+        if path in ("/-/ready", "/-/healthy"):
+            if head.method not in ("GET", "HEAD"):
+                self._refuse(exchange, 405, "GET is expected here")
+            return
+        if path != "/api":
+            self._refuse(exchange, 404, "messages are handed in at /api")
+        elif head.method != "POST":
+            self._refuse(exchange, 405, "messages are handed in by POST")
+        else:
+            try:
+                exchange.who = self.reader.read(head)
+            except BadRequest as error:
+                self._refuse(exchange, error.status, error.text)
+
+    def _refuse(self, exchange: server.Exchange, status: int, text: str) -> None:
+        self.bad += 1
+        answer(exchange, status, text, close=True)
+
+    def _request(self, exchange: server.Exchange) -> None:
+        if exchange.answered:
+            return
+        if isinstance(exchange.who, HandIn):
+            self.take(exchange, exchange.who)
+        elif exchange.head.target.startswith("/-/ready"):
+            ready = self.ready()
+            answer(exchange, 200 if ready else 503, "ready" if ready else "not ready")
+        else:
+            answer(exchange, 200, "healthy")
+
+    async def start(self, host: str, port: int) -> int:
+        return await self.server.start(host, port)
--- /dev/null
+++ b/linnetstile/node/journal.py
@@ -0,0 +1,188 @@
+"""What this relay owes, in the folder that lasts: one file that is only appended to, written anew now and then.
+
+A record is a head (kind, length, CRC-32 of the rest) and its content. Reading stops at the first record that is not
+whole: after it nothing was promised, since a promise is given only once its record is written. No fsync: the folder
+outlives the process, and nothing outlives the machine. Times are Unix times in ms."""
+
+from __future__ import annotations
+
+import json
+import os
+import struct
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+HEAD = struct.Struct("<cII")
+TAKEN, ATTEMPT, OUTCOME, OWED, ENDED = b"T", b"A", b"O", b"N", b"E"
+ATTEMPTED = struct.Struct("<Qdi")  # message, when, zone of the endpoint; its name follows
+PLAIN = struct.Struct("<Q?")  # message, whether the attempt may have run
+
+
+@dataclass(slots=True)
+class Kept:
+    """One message as the journal knows it."""
+
+    id: int
+    fields: dict[str, Any]  # of the client's head, and `taken` and `due`, Unix ms
+    body: bytes
+    tries: int = 0
+    out: tuple[float, int, str] | None = None  # an attempt without outcome: when, zone and name of the endpoint
+    risk: tuple[float, int, str] | None = None  # the first attempt that may have run
+    notice: dict[str, Any] | None = None  # owed to the platform
+
+    def records(self) -> Iterable[bytes]:
+        """The same again, in few records."""
+        if self.notice is not None:
+            yield owed(self.id, self.notice)
+            return
+        yield taken(self.id, self.fields, self.body)
+        risk = self.risk
+        for _ in range(self.tries - (risk is not None) - (self.out is not None and self.out is not risk)):
+            yield attempt(self.id, 0.0, 0, "") + outcome(self.id, False)
+        if risk is not None:
+            yield attempt(self.id, *risk) + (outcome(self.id, True) if self.out is not risk else b"")
+        if self.out is not None and self.out is not risk:
+            yield attempt(self.id, *self.out)
+
+
+def _record(kind: bytes, content: bytes) -> bytes:
+    return HEAD.pack(kind, len(content), zlib.crc32(content)) + content
+
+
+def taken(ident: int, fields: dict[str, Any], body: bytes) -> bytes:
+    meta = json.dumps([ident, fields], separators=(",", ":")).encode()
+    return _record(TAKEN, struct.pack("<I", len(meta)) + meta + body)
+
+
+def attempt(ident: int, at: float, zone: int, endpoint: str) -> bytes:
+    return _record(ATTEMPT, ATTEMPTED.pack(ident, at, zone) + endpoint.encode())
+
+
+def outcome(ident: int, risky: bool) -> bytes:
+    return _record(OUTCOME, PLAIN.pack(ident, risky))
+
+
+def owed(ident: int, notice: dict[str, Any]) -> bytes:
+    return _record(OWED, json.dumps([ident, notice], separators=(",", ":")).encode())
+
+
+def ended(ident: int) -> bytes:
+    return _record(ENDED, PLAIN.pack(ident, False))
+
+
+def replay(data: bytes) -> tuple[dict[int, Kept], int]:
+    """What is still owed, by id in the order it was taken, and how many bytes could be read."""
+    kept: dict[int, Kept] = {}
+    at = 0
+    while at + HEAD.size <= len(data):
+        kind, size, crc = HEAD.unpack_from(data, at)
+        content = data[at + HEAD.size : at + HEAD.size + size]
+        if len(content) != size or zlib.crc32(content) != crc:
+            break
+        at += HEAD.size + size
+        _apply(kept, kind, content)
+    return kept, at
+
+
+def _apply(kept: dict[int, Kept], kind: bytes, content: bytes) -> None:
+    if kind == TAKEN:
+        (size,) = struct.unpack_from("<I", content)
+        ident, fields = json.loads(content[4 : 4 + size])
+        kept[ident] = Kept(ident, fields, content[4 + size :])
+    elif kind == OWED:
+        ident, notice = json.loads(content)
+        kept[ident] = Kept(ident, {}, b"", notice=notice)
+    elif kind == ATTEMPT:
+        ident, when, zone = ATTEMPTED.unpack_from(content)
+        if ident in kept:
+            kept[ident].tries += 1
+            kept[ident].out = when, zone, content[ATTEMPTED.size :].decode()
+    else:
+        ident, risky = PLAIN.unpack_from(content)
+        if kind == ENDED:
+            kept.pop(ident, None)
+        elif ident in kept:
+            if risky and kept[ident].risk is None:
+                kept[ident].risk = kept[ident].out
+            kept[ident].out = None
+
+
+@dataclass(slots=True)
+class Journal:
+    """`add` records, then `flush`: what was added before a flush that returned True outlives the process."""
+
+    folder: Path
+    most: int  # bytes of the file from which on it is written anew
+    size: int = 0
+    live: int = 0  # bytes of the messages held
+    failed: int = 0  # writes that failed
+    error: str = ""
+    _file: int = -1
+    _added: list[bytes] = field(default_factory=list)
+
+    def open(self) -> dict[int, Kept]:
+        """Reads what an earlier process left and goes on from there. Raises OSError."""
+        path = self.folder / "journal"
+        (self.folder / "journal.new").unlink(missing_ok=True)
+        kept, _ = replay(path.read_bytes()) if path.exists() else ({}, 0)
+        self.rewrite(kept.values())
+        if self._file < 0:
+            raise OSError(f"{path}: {self.error}")
+        return kept
+
+    def add(self, record: bytes) -> None:
+        self._added.append(record)
+
+    def flush(self) -> bool:
+        """One write for all that was added; False if the disk would not take it, and then nothing of it counts."""
+        if not self._added:
+            return True
+        data, self._added = b"".join(self._added), []
+        try:
+            done = os.write(self._file, data)
+            if done == len(data):
+                self.size += done
+                return True
+            self.error = "no room on the disk"
+        except OSError as error:
+            self.error = error.strerror or repr(error)
+        self.failed += 1
+        try:  # half a record would hide all that comes after it
+            os.ftruncate(self._file, self.size)
+        except OSError:
+            self.size = self.most + 1  # is written anew
+        return False
+
+    @property
+    def full(self) -> bool:
+        return self.size > self.most
+
+    def rewrite(self, kept: Iterable[Kept]) -> None:
+        """Writes what is owed into a new file, which takes the place of the old one as a whole or not at all."""
+        new = self.folder / "journal.new"
+        data = b"".join(record for each in kept for record in each.records())
+        try:
+            file = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
+            try:
+                if os.write(file, data) != len(data):
+                    raise OSError("no room on the disk")
+                os.rename(new, self.folder / "journal")
+            except OSError:
+                os.close(file)
+                new.unlink(missing_ok=True)
+                raise
+        except OSError as error:
+            self.failed += 1
+            self.error = error.strerror or str(error)
+            return
+        if self._file >= 0:
+            os.close(self._file)
+        self._file, self.size = file, len(data)
+
+    def close(self) -> None:
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
--- /dev/null
+++ b/linnetstile/node/process.py
@@ -0,0 +1,105 @@
+"""The relay as the platform runs it: signals, the log on standard error, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import os
+import resource
+import signal
+import sys
+import time
+
+from .config import ConfigError, load
+from .relay import Node
+
+STATS_S = 5.0
+
+
+def log(event: str, **fields: object) -> None:
+    """One JSON object a line; a log that can't be written stops nothing."""
+    try:
+        sys.stderr.write(json.dumps({"at": round(time.time(), 3), "event": event, **fields}) + "\n")
+        sys.stderr.flush()
+    except (OSError, ValueError):
+        pass
+
+
+class Stats:
+    """What the relay believes, every few seconds: to hold against the traffic."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.cpu = time.process_time()
+        self.before: dict[str, int] = {}
+        self.due = node.loop.time() + STATS_S
+        node.loop.call_at(self.due, self._tell)
+
+    def _tell(self) -> None:
+        node = self.node
+        cpu, late = time.process_time(), node.loop.time() - self.due
+        counts = dict(node.counts)
+        lanes = [lane for lanes in node.relay.lanes.values() for lane in lanes.values()]
+        log("stats", cpu=round(cpu - self.cpu, 2), late_ms=round(late * 1000, 1), held=len(node.carried),
+            busy=node.relay.busy, notices=len(node.owed), clients=len(node.front.server.open), bad=node.front.bad,
+            calls=len(node.calls.pool.open), idle=node.calls.pool.resting, sick=sum(lane.sick for lane in lanes),
+            journal=node.journal.size, memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss >> 10,
+            since={k: v - self.before.get(k, 0) for k, v in counts.items() if v != self.before.get(k, 0)},
+            front=node.front.server.counts, pool=node.calls.pool.counts)
+        self.cpu, self.before = cpu, counts
+        self.due = node.loop.time() + STATS_S
+        node.loop.call_at(self.due, self._tell)
+
+
+def reload(node: Node) -> None:
+    """SIGHUP: the configuration file is read again; one that can't be used leaves all as it was."""
+    try:
+        settings = load(os.environ)
+    except ConfigError as error:
+        log("config_refused", why=str(error))
+        return
+    if settings.discovery != node.watch.where:
+        node.move(settings.discovery)
+    if settings.module != node.s.module or settings.listen != node.s.listen:
+        log("config_waits", why="settings and listen take effect at the next start")
+
+
+async def run() -> int:
+    loop = asyncio.get_running_loop()
+    pending: list[int] = []
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, pending.append, number)
+    try:
+        settings = load(os.environ)
+    except ConfigError as error:
+        print(f"linnetstile node: {error}", file=sys.stderr)
+        return 2
+    try:
+        node = Node(settings, log)
+        await node.start()
+    except OSError as error:
+        print(f"linnetstile node: can't start: {error}", file=sys.stderr)
+        return 3
+    # What no caller sees: a fault in a callback. The message it was about is owed, and its deadline ends it.
+    loop.set_exception_handler(lambda _, told: log(
+        "fault", why=told.get("message", ""), error=repr(told.get("exception"))))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.leave)
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
+    if signal.SIGHUP in pending:
+        reload(node)
+    if signal.SIGTERM in pending or signal.SIGINT in pending:
+        node.leave()
+    gc.collect()
+    gc.freeze()  # what a start made stays: collections look at what came since
+    Stats(node)
+    await node.over.wait()
+    log("ends", held=len(node.carried), notices=len(node.owed))
+    node.close()
+    await asyncio.sleep(0)
+    return 0
+
+
+def main() -> int:
+    return asyncio.run(run())
--- /dev/null
+++ b/linnetstile/node/relay.py
@@ -0,0 +1,391 @@
+"""One relay on the platform: hosts the module and carries out its actions. Nothing here decides about a message."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from ..decisions import interface as api
+from ..decisions import leaving
+from ..decisions.bounds import SETTLE_S, bounds
+from ..decisions.control import Relay
+from ..decisions.evidence import Proof, Sight
+from ..net import client, server
+from . import journal
+from .calls import Calls
+from .config import Address, NodeSettings
+from .discovery import Directory, Place, Watch
+from .finals import Finals
+from .front import Front, HandIn, answer
+from .journal import Journal, Kept
+
+REMEMBERED = 20_000  # identifiers that were taken, ended ones included
+
+
+def unix_ms() -> float:
+    return time.time() * 1000
+
+
+def key_number(key: str) -> int:
+    """A key as the module knows it: 0 is none."""
+    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=7).digest(), "big") + 1 if key else 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    number: int
+    place: Place
+    began: float  # loop time, ms
+    call: client.Call | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Carried:
+    """One message from its hand-in to its end. `exchange` is there until the client has its answer."""
+
+    ident: str
+    key: str
+    kept: Kept
+    exchange: server.Exchange | None = None
+    attempt: Attempt | None = None
+    gone: bool = False  # its client never heard that it was taken on
+
+
+class Node:
+    """Start with `start`, end with `leave`; `over` is set when the process may end."""
+
+    def __init__(self, settings: NodeSettings, log: Callable[..., None]) -> None:
+        self.s, self.log = settings, log
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(settings.seed)
+        module = settings.module
+        self.bounds = bounds(settings.limits.sockets, settings.limits.disk_mb * 1e6, module.slots)
+        self.relay = Relay(module, settings.seed)
+        self.directory = Directory(tuple(kind.name for kind in module.kinds), settings.zones)
+        self.journal = Journal(settings.state, self.bounds.log)
+        self.watch = Watch(self.directory, settings.discovery, self._listed, self.rng)
+        self.finals = Finals(settings.discovery, self._noticed, self.rng)
+        self.calls = Calls(settings, self.bounds)
+        self.front = Front(module, self.bounds, self._take, lambda: self.ready, lambda: self.left is not None)
+        self.carried: dict[int, Carried] = {}
+        self.owed: dict[int, Kept] = {}  # notices
+        self.idents: OrderedDict[str, bool] = OrderedDict()  # taken before; True while it is open
+        self.events: list[api.Event] = []
+        self.fresh: list[Carried] = []  # handed in since the last turn
+        self.planned = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.last = 0
+        self.ready = False
+        self.left: float | None = None  # loop time, s, of the signal to end
+        self.over = asyncio.Event()
+        self.counts: dict[str, int] = {}
+
+    async def start(self) -> None:
+        """Reads what is owed, listens, hears of the endpoints. Raises OSError."""
+        self.s.state.mkdir(parents=True, exist_ok=True)
+        kept = self.journal.open()
+        self._known()
+        await self.front.start(*self.s.listen)
+        self.watch.start()
+        try:  # what is owed goes on once the list is there: a known one may be old
+            await asyncio.wait_for(self.watch.first.wait(), SETTLE_S)
+        except TimeoutError:
+            self.log("discovery_silent", known=len(self.directory.places))
+        self._resume(kept)
+        self.ready = True
+        self.log("ready", listening=client.shown(self.s.listen), endpoints=len(self.directory.places),
+                 resumed=len(self.carried), notices=len(self.owed))
+
+    def _known(self) -> None:
+        event = self.directory.take(self.s.known, cached=True)  # None where the platform knows none
+        if event is not None:
+            self._listed(event)
+
+    def _resume(self, kept: dict[int, Kept]) -> None:
+        """What an earlier process left: messages go to the module, notices to the platform."""
+        unix = unix_ms()
+        classes = {cls.name: number for number, cls in enumerate(self.s.module.classes)}
+        tenants = {tenant.name: number for number, tenant in enumerate(self.s.module.tenants)}
+        for ident, each in kept.items():
+            self.last = max(self.last, ident)
+            if each.notice is not None:
+                self.owed[ident] = each
+                self.finals.post(ident, each.notice)
+                continue
+            fields = each.fields
+            carried = self.carried[ident] = Carried(fields["ident"], fields["key"], each)
+            self.idents[carried.ident] = True
+            if fields["class"] not in classes:  # the settings have changed: nobody could judge it
+                self._final(ident, {"ref": carried.ident, "result": "dead"})
+                continue
+            risk = each.risk or each.out  # what was out when the process ended may have run
+            each.risk, each.out = risk, None
+            message = api.Message(
+                ident, fields["dest"], classes[fields["class"]], max(0.0, fields["due"] - unix),
+                tenants.get(fields["tenant"], 0), key_number(carried.key) if self._ordered(fields["class"]) else 0)
+            place = self.directory.places.get(self.directory.numbers.get(risk[2], 0)) if risk else None
+            where = api.Endpoint(place.number if place else 0, fields["dest"], api.Listing.READY,
+                                 zone=risk[1]) if risk else None
+            self._tell(api.Resumed(message, max(0.0, unix - fields["taken"]), each.tries,
+                                   max(0.0, unix - risk[0]) if risk else None, where))
+
+    def _ordered(self, name: str) -> bool:
+        return any(cls.in_order for cls in self.s.module.classes if cls.name == name)
+
+    @property
+    def now(self) -> float:
+        return self.loop.time() * 1000
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # -- the module ------------------------------------------------------------------------------------------
+
+    def _tell(self, event: api.Event) -> None:
+        self.events.append(event)
+        if not self.planned:
+            self.planned = True
+            self.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        """One turn of the module. What it takes on is in the journal before its client hears of it, and an attempt is
+        in the journal before its call begins."""
+        self.planned = False
+        events, self.events = self.events, []
+        fresh, self.fresh = self.fresh, []
+        sends: list[api.Send] = []
+        for action in self.relay.handle(self.now, events):
+            if isinstance(action, api.Send):
+                sends.append(action)
+            else:
+                self._act(action)
+        self._promise([carried for carried in fresh if carried.exchange is not None])
+        self._send_all(sends)
+        self.journal.flush()
+        if self.journal.full:
+            self.journal.rewrite([*(carried.kept for carried in self.carried.values()), *self.owed.values()])
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Refuse(ident, stay):
+                self._over(ident, True, stay)
+            case api.Fail(ident):
+                self._over(ident, False, 0.0)
+            case api.SetTimer(delay, token):
+                if self.timer:
+                    self.timer.cancel()
+                self.timer = self.loop.call_later(delay / 1000, self._tell, api.TimerFired(token))
+            case api.Cancel(ident, number):
+                attempt = self.carried[ident].attempt if ident in self.carried else None
+                if attempt and attempt.number == number and attempt.call:
+                    attempt.call.abort(Sight.CANCELLED)
+            case api.CloseIdle(endpoint):
+                if endpoint in self.directory.places:
+                    self.calls.close_idle(self.directory.places[endpoint])
+            case api.Probe(endpoint):
+                self._tell(api.ProbeEnded(endpoint, api.Outcome.NOT_SENT))  # the platform's endpoints have no probe
+            case api.Log(text):
+                self.log("module", text=text)
+
+    def _over(self, ident: int, refused: bool, stay_ms: float) -> None:
+        """The module has given it up: its client is told, or the platform where the client has its answer already."""
+        carried = self.carried[ident]
+        self.count("refused" if refused else "failed")
+        if carried.exchange is not None:
+            answer(carried.exchange, 503 if refused else 500, "refused" if refused else "failed",
+                   close=self.left is not None, wait_ms=stay_ms)
+            carried.exchange = None
+            self._forget(ident)
+            return
+        notice: dict[str, object] = {"ref": carried.ident, "result": "bounced" if refused else "dead"}
+        if refused and stay_ms > 0:
+            notice["wait_ms"] = int(stay_ms)
+        self._final(ident, notice)
+
+    def _final(self, ident: int, notice: dict[str, object]) -> None:
+        carried = self._forget(ident)
+        if carried.gone:
+            return
+        self.owed[ident] = Kept(ident, {}, b"", notice=notice)
+        self.journal.add(journal.owed(ident, notice))
+        self.finals.post(ident, notice)
+
+    def _forget(self, ident: int) -> Carried:
+        carried = self.carried.pop(ident)
+        self.idents[carried.ident] = False
+        self.journal.live -= len(carried.kept.body)
+        return carried
+
+    def _noticed(self, numbers: list[int]) -> None:
+        for number in numbers:
+            del self.owed[number]
+            self.journal.add(journal.ended(number))
+        self.journal.flush()
+
+    def _listed(self, event: api.EndpointList) -> None:
+        self._tell(event)
+        for entry in event.entries:
+            if entry.listing is not api.Listing.READY and entry.id in self.directory.places:
+                self.calls.close_idle(self.directory.places[entry.id])
+
+    # -- intake ----------------------------------------------------------------------------------------------
+
+    def _take(self, exchange: server.Exchange, hand: HandIn) -> None:
+        """A message that could be read: refused here only where the module could not judge it."""
+        left = hand.left_ms - (self.loop.time() - exchange.began) * 1000
+        if not self.ready or self.left is not None and not self._leave().takes:
+            answer(exchange, 503, "refused: this relay is not taking messages on", close=self.left is not None)
+        elif hand.ident in self.idents:
+            self.count("known")
+            answer(exchange, 409, "X-Correlation-Id: was handed in before", close=True)
+        elif hand.destination not in self.directory.destinations:
+            self.count("nowhere")
+            answer(exchange, 503, "refused: no such destination is listed")
+        elif self.journal.live + len(exchange.body) > self.bounds.live:
+            self.count("no_room")
+            answer(exchange, 503, "refused: no room to keep it")
+        elif left <= 0:
+            self.count("late")
+            answer(exchange, 503, "refused: its time is up")
+        else:
+            self._carry(exchange, hand, left)
+
+    def _carry(self, exchange: server.Exchange, hand: HandIn, left: float) -> None:
+        self.last += 1
+        unix, module = unix_ms(), self.s.module
+        tenant = module.tenants[hand.tenant].name if module.tenants else ""
+        cls = module.classes[hand.class_]
+        kept = Kept(self.last, {"ident": hand.ident, "class": cls.name, "tenant": tenant, "dest": hand.destination,
+                                "key": hand.key, "taken": round(unix, 1), "due": round(unix + left, 1)}, exchange.body)
+        carried = Carried(hand.ident, hand.key, kept, exchange)
+        exchange.body = b""
+        self.carried[self.last] = carried
+        self.journal.live += len(kept.body)
+        self.idents[hand.ident] = True
+        while len(self.idents) > REMEMBERED:
+            ident, open_ = self.idents.popitem(last=False)
+            if open_:
+                self.idents[ident] = True
+        self.fresh.append(carried)
+        self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant,
+                               key_number(hand.key) if cls.in_order else 0, again=hand.again,
+                               from_dead_relay=hand.from_dead))
+
+    def _promise(self, fresh: list[Carried]) -> None:
+        """Taken on: written down first, then told."""
+        for carried in fresh:
+            self.journal.add(journal.taken(carried.kept.id, carried.kept.fields, carried.kept.body))
+        written = self.journal.flush()
+        for carried in fresh:
+            exchange, carried.exchange = carried.exchange, None
+            assert exchange is not None
+            if not written:
+                self.count("not_written")
+                answer(exchange, 503, "refused: it can't be kept")
+            elif answer(exchange, 202, close=self.left is not None):
+                self.count("taken")
+                continue
+            else:
+                self.count("unheard")
+                self.journal.add(journal.ended(carried.kept.id))
+            carried.gone = True
+            self._tell(api.Withdrawn(carried.kept.id))
+
+    # -- delivery --------------------------------------------------------------------------------------------
+
+    def _send_all(self, sends: list[api.Send]) -> None:
+        begun: list[tuple[api.Send, Carried, Attempt]] = []
+        unix = unix_ms()
+        for send in sends:
+            carried = self.carried[send.id]
+            assert carried.attempt is None, "two attempts at once"
+            kept, place = carried.kept, self.directory.places.get(send.endpoint)
+            if carried.gone or place is None:
+                self._outcome(send.id, send.endpoint, kept.tries, api.Outcome.NOT_SENT, 0.0, carried.gone)
+                continue
+            carried.attempt = Attempt(kept.tries, place, self.now)
+            kept.tries += 1
+            kept.out = unix, place.zone, place.name
+            self.journal.add(journal.attempt(kept.id, *kept.out))
+            begun.append((send, carried, carried.attempt))
+        written = self.journal.flush()
+        for send, carried, attempt in begun:
+            if not written:
+                carried.kept.out = carried.attempt = None
+                self._outcome(send.id, send.endpoint, attempt.number, api.Outcome.NOT_SENT, 0.0, False)
+                continue
+            self.count("attempts")
+            fields = [("X-Correlation-Id", carried.ident)]
+            if carried.key:
+                fields.append(("Idempotency-Key", carried.key))
+            attempt.call = self.calls.send(
+                attempt.place, fields, carried.kept.body, send.give_up_at_ms - self.now,
+                partial(self._ended, send, carried, attempt))
+
+    def _ended(self, send: api.Send, carried: Carried, attempt: Attempt, proof: Proof,
+               report: tuple[float, ...]) -> None:
+        kept, outcome = carried.kept, proof.outcome
+        attempt.call = None
+        carried.attempt = None
+        self.count(f"ended_{outcome.value}")
+        risky = not outcome.proves_no_effect
+        if risky and kept.risk is None:
+            kept.risk = kept.out
+        kept.out = None
+        self.journal.add(journal.ended(kept.id) if proof.finished else journal.outcome(kept.id, risky))
+        self._outcome(send.id, send.endpoint, attempt.number, outcome, self.now - attempt.began, proof.finished,
+                      proof.wait_ms, proof.no_slot, report)
+        if proof.finished:
+            self._forget(kept.id)
+
+    def _outcome(self, ident: int, endpoint: int, number: int, outcome: api.Outcome, took: float, finished: bool,
+                 wait_ms: float = 0.0, no_slot: bool = False, report: tuple[float, ...] = ()) -> None:
+        self._tell(api.AttemptEnded(ident, number, endpoint, outcome, took, finished, wait_ms, no_slot, report))
+        if finished and ident in self.carried and self.carried[ident].gone:
+            self._forget(ident)
+
+    # -- signals ---------------------------------------------------------------------------------------------
+
+    def move(self, discovery: Address) -> None:
+        """Discovery answers at another address from now on."""
+        self.log("discovery_moves", to=client.shown(discovery))
+        self.watch.move(discovery)
+        self.finals.move(discovery)
+
+    def leave(self) -> None:
+        """SIGTERM: see decisions/leaving.py."""
+        if self.left is None:
+            self.left = self.loop.time()
+            self.log("leaving", held=len(self.carried))
+            self._leaving()
+
+    def _leave(self) -> leaving.Leave:
+        assert self.left is not None
+        out = sum(carried.attempt is not None for carried in self.carried.values())
+        return leaving.leave((self.loop.time() - self.left) * 1000, out, len(self.carried) + len(self.owed))
+
+    def _leaving(self) -> None:
+        now = self._leave()
+        if not now.listens:
+            self.front.server.stop_listening()
+        if now.ends:
+            self.over.set()
+            return
+        self.loop.call_later(0.05, self._leaving)
+
+    def close(self) -> None:
+        """Ends every connection; what is owed is in the journal."""
+        if self.timer:
+            self.timer.cancel()
+        self.journal.flush()
+        self.watch.close()
+        self.finals.close()
+        self.front.server.close()
+        self.calls.close()
+        self.journal.close()
