The last byte of an unsafe call waits where closed connections were met

Change: Send.hold_ms in place of Send.fresh. While more than 2% of kept connections are met closed, the last byte of a message that may not be repeated waits for 0.3 of a usual answer. An endpoint begins a call when its last byte has come, so a connection that ends before then proves that nothing ran, and the message goes on.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -36,8 +36,8 @@
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
 SEEN = 0.05  # weight of one call in what is known of a kind of destination: some twenty calls
 SCARCE = 0.04  # part of answers after a missed connection above which idle ones are closed: one in SEEN
-SUDDEN = 0.3  # a kept connection reset within this part of a usual answer had been closed: the call never began
-STALE = 0.02  # part of the calls on kept connections that met a closed one, above which unsafe ones avoid them
+SUDDEN = 0.3  # a kept connection reset within this part of a usual answer had been closed before
+STALE = 0.02  # part of the calls on kept connections that met a closed one, above which unsafe ones wait
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 CRAWL = 8.0  # a call takes so many times as long as a usual answer (harmonic mean): its destination crawls
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
@@ -323,7 +323,8 @@
         if event.wait_ms > 0:  # binds whichever message of a call was told it, the others' answers or not
             self._told(now, door.lane, held.msg.destination, held.ready + event.wait_ms)
         # A kept connection that its peer, or something on the way, had closed: it says nothing of a destination.
-        stale = event.reused and event.outcome is Outcome.RESET and event.latency_ms < SUDDEN * door.lane.mean
+        sudden = event.outcome is Outcome.RESET and event.latency_ms < SUDDEN * door.lane.mean
+        stale = event.reused and (sudden or event.outcome is Outcome.CONNECT_FAILED)
         if event.reused:
             self.stale += SEEN * (stale - self.stale)
         if counts and event.outcome is Outcome.OK:
@@ -575,9 +576,10 @@
             last = last or now + patience + RETRY_MS * 2**held.tries > risk + held.cls.key_window_ms
         if last or now + 2 * patience < held.due:
             until = min(held.due, now + patience * (LAST if last else 1.0))
-        # Guards messages that may not be repeated against a reset that leaves open whether they ran.
-        fresh = held.cls.effect is Effect.UNSAFE and self.stale > STALE
-        if door.warm and not fresh:
+        # Guards messages that may not be repeated against a reset that leaves open whether they ran: where closed
+        # connections were met, the last byte waits until one would have shown itself.
+        hold = SUDDEN * lane.mean if held.cls.effect is Effect.UNSAFE and self.stale > STALE else 0.0
+        if door.warm:
             door.warm.pop()
         riders = [held]
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
@@ -595,4 +597,4 @@
         for rider in riders:
             self.board.unqueue(rider)
             rider.out, rider.out_since, rider.tries = call, now, rider.tries + 1
-            acts.append(Send(rider.msg.id, door.entry.id, min(until, rider.due), fresh))
+            acts.append(Send(rider.msg.id, door.entry.id, min(until, rider.due), hold))
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -287,7 +287,7 @@
     id: int
     endpoint: int
     give_up_at_ms: float
-    fresh: bool = False  # on a new connection
+    hold_ms: float = 0.0  # its last byte is held back so long: a connection that ends before carried no call
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -58,6 +58,7 @@
         self.connecting: asyncio.Task[None] | None = None
         self.written = False
         self.rested: float | None = None
+        self.hold_s = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
     def finish(self, answer: Answer) -> None:
@@ -97,6 +98,7 @@
         self.pieces: list[bytes] = []
         self.idle_since = 0.0
         self.used = False
+        self.held = b""  # the end of a request that is held back
         self.secure = False
         self.began = pool.loop.time()  # of the call
         self.metered(pool.rates.response, pool.rates.request, pool.rates.grace_s)
@@ -109,7 +111,7 @@
     def partial(self) -> bool:
         """A byte of the request has not left this process. RFC 9112, 8: what is not complete can't be acted on, and
         an AS2 message has its digest over all of it."""
-        return self.blocked or self.queued > 0
+        return self.blocked or self.queued > 0 or bool(self.held)
 
     def began_to_speak(self) -> bool:
         """The kernel holds bytes or the end of a connection on which nothing is out. Guards the next request against
@@ -135,13 +137,24 @@
         self.came = self.counted = 0
         self.meter_in.rest()
         self.parser.expect(method)
-        self.put(data) if isinstance(data, bytes) else self.put(*data)
+        if call.hold_s > 0:
+            joined = data if isinstance(data, bytes) else b"".join(data)
+            self.held = joined[-1:]
+            self.put(joined[:-1])
+            self.pool.loop.call_later(call.hold_s, self._release, call)
+        else:
+            self.put(data) if isinstance(data, bytes) else self.put(*data)
         if self.transport.is_closing():  # the first write, into an empty buffer, failed as a whole
             self.call = call.conn = None
             return False
         call.written = self.used = True
         return True
 
+    def _release(self, call: Call) -> None:
+        held, self.held = self.held, b""
+        if self.call is call and held:
+            self.put(held)
+
     def overdue(self, now: float) -> str:
         """Which least rate the peer is below, if any; ticks the meters. Times in ms."""
         if self.call is None:
@@ -239,13 +252,14 @@
         self._sweeper = self.loop.call_later(self._every, self._sweep)
 
     def call(self, address: Address, method: str, data: Data, done: Callable[[Answer], None],
-             until: float | None = None, secure: Secure | None = None, fresh: bool = False) -> Call:
-        """Sends one request, in one piece or several; `until` is the loop time at which it times out. A `fresh` one
-        goes out on a new connection."""
+             until: float | None = None, secure: Secure | None = None, hold_s: float = 0.0) -> Call:
+        """Sends one request, in one piece or several; `until` is the loop time at which it times out. Its last byte is
+        held back for `hold_s`: a connection that ends before then, as one does that had been closed, had no request."""
         call = Call(done)
         if until is not None:
             call.timer = self.loop.call_at(until, call.abort, Sight.TIMED_OUT)
-        idle = [] if fresh else self.idle.get(address, [])
+        idle = self.idle.get(address, [])
+        call.hold_s = hold_s
         while idle:
             conn = idle.pop()
             self.resting -= 1
--- a/linnetstile/node/calls.py
+++ b/linnetstile/node/calls.py
@@ -44,10 +44,10 @@
         self.pool = client.Pool(module.connect_timeout_ms / 1000 or 1.5, idle_s,
                                 http1.Limits(body=BODY, head=HEAD), eager=True, most_idle=bounds.idle)
 
-    def send(self, place: Place, fields: list[tuple[str, str]], body: bytes, left_ms: float, fresh: bool,
+    def send(self, place: Place, fields: list[tuple[str, str]], body: bytes, left_ms: float, hold_ms: float,
              done: Done) -> client.Call:
-        """Begins one attempt that is given up after `left_ms`, on a new connection if `fresh`; `done` is called once,
-        and not from within."""
+        """Begins one attempt that is given up after `left_ms`, its last byte held back for `hold_ms`; `done` is called
+        once, and not from within."""
         headers = [("Host", f"{place.host}:{place.port}"), ("X-Time-Left", f"{max(1, int(left_ms))}m"), *fields]
         until = self.pool.loop.time() + max(0.0, left_ms) / 1000
 
@@ -60,7 +60,8 @@
                  answer.rested is not None)
 
         return self.pool.call((place.host, place.port, place.number), "POST",
-                              http1.request_parts("POST", "/events", headers, body), ended, until, fresh=fresh)
+                              http1.request_parts("POST", "/events", headers, body), ended, until,
+                              hold_s=hold_ms / 1000)
 
     def close_idle(self, place: Place) -> None:
         self.pool.close_idle((place.host, place.port, place.number))
