--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -11,7 +11,7 @@
 
 from ..codec import http1
 from ..decisions import interface as api
-from ..decisions.bounds import QUIET_S, pause_ms
+from ..decisions.bounds import pause_ms, silence_s
 from ..net.wire import Wire
 from .config import Address, address
 
@@ -208,8 +208,9 @@
         host = f"{self.where[0]}:{self.where[1]}"
         stream.put(http1.request("GET", f"/api/targets?follow=1{since}", [("Host", host)]))
         while not stream.over.done():
-            left = stream.heard + QUIET_S - self.loop.time()
-            if left <= 0:  # discovery is down, or this connection leads nowhere
+            left = stream.heard + silence_s(stream.useful, bool(stream.line)) - self.loop.time()
+            if left <= 0:  # discovery is down, or this connection leads nowhere: it may stop in the middle of a line
                 stream.transport.abort()
                 return
-            await asyncio.wait([stream.over], timeout=left)
+            # Looked at again that often: a line may begin, and stop, at any moment.
+            await asyncio.wait([stream.over], timeout=min(left, silence_s(True, True)))
--- /dev/null
+++ b/tests/decisions/test_platform.py
@@ -0,0 +1,118 @@
+"""Decisions that the platform's relay asks for: what its answers prove, resuming, closed connections, leaving."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.bounds import bounds
+from linnetstile.decisions.evidence import Seen, Sight, endpoint_proof
+from linnetstile.decisions.interface import Outcome
+from linnetstile.decisions.leaving import END_MS, TAKES_MS, leave
+
+from ..conftest import CLASSES, KEYED, SAFE, UNSAFE, Driver
+
+
+@pytest.mark.parametrize(("seen", "claimed", "no_slot", "outcome", "finished"), [
+    (Seen(Sight.ANSWERED, 200), 0, False, Outcome.OK, True),
+    (Seen(Sight.GARBLED), 200, False, Outcome.OK, True),
+    (Seen(Sight.TIMED_OUT), 200, False, Outcome.OK, True),
+    (Seen(Sight.LOST), 200, False, Outcome.OK, True),
+    (Seen(Sight.GARBLED), 503, False, Outcome.RESET, False),
+    (Seen(Sight.ANSWERED, 500), 0, False, Outcome.ERROR, False),
+    (Seen(Sight.ANSWERED, 429, 300.0), 0, False, Outcome.FULL, False),
+    (Seen(Sight.ANSWERED, 503), 0, False, Outcome.FULL, False),
+    (Seen(Sight.ANSWERED, 503), 0, True, Outcome.NOT_SENT, False),
+    (Seen(Sight.ANSWERED, 504), 0, False, Outcome.NOT_SENT, False),
+    (Seen(Sight.ANSWERED, 410), 0, False, Outcome.NOT_SENT, True),
+    (Seen(Sight.CUT), 0, False, Outcome.CONNECT_FAILED, False),
+])
+def test_each_row_of_the_platforms_page(seen: Seen, claimed: int, no_slot: bool, outcome: Outcome,
+                                        finished: bool) -> None:
+    found = endpoint_proof(seen, claimed, no_slot)
+    assert (found.outcome, found.finished, found.no_slot) == (outcome, finished, no_slot)
+
+
+@given(st.integers(64, 65536), st.floats(0.01, 1e3), st.integers(1, 64))
+def test_bounds_leave_room_for_calls_and_the_journal_twice(sockets: int, disk_mb: float, slots: int) -> None:
+    found = bounds(sockets, disk_mb * 1e6, slots)
+    assert 0 < found.clients <= sockets / 2 and found.idle >= slots
+    assert found.live + found.log <= disk_mb * 1e6
+
+
+def resumed(driver: Driver, class_: int, tries: int, risk_ms: float | None, left: float = 5000.0) -> None:
+    driver.ids += 1
+    driver.tries[driver.ids] = tries
+    driver.feed(api.Resumed(api.Message(driver.ids, 1, class_, left), 5000.0, tries, risk_ms))
+
+
+@pytest.mark.parametrize(("class_", "tries", "risk_ms", "sent", "ended"), [
+    (SAFE, 1, 500.0, True, None),
+    (KEYED, 1, 500.0, True, None),
+    (KEYED, 1, CLASSES[KEYED].key_window_ms, False, api.Fail),  # the destination may have forgotten its key
+    (UNSAFE, 1, 500.0, False, api.Fail),
+    (UNSAFE, 1, None, True, None),  # its one attempt proved no effect
+    (UNSAFE, 0, None, True, None),
+    (SAFE, 5, 500.0, False, api.Refuse),  # had all its attempts
+    (SAFE, 5, None, False, api.Refuse),
+])
+def test_restart_goes_by_class_window_and_attempts(class_: int, tries: int, risk_ms: float | None, sent: bool,
+                                                   ended: type | None) -> None:
+    driver = Driver()
+    driver.listed((1, 1))
+    resumed(driver, class_, tries, risk_ms)
+    driver.pass_time(400)
+    assert bool(driver.sent) == sent
+    assert (type(driver.ended[1]) if 1 in driver.ended else None) is ended
+
+
+def test_resumed_message_ends_within_its_time() -> None:
+    driver = Driver()
+    resumed(driver, SAFE, 0, None, left=300.0)  # no endpoint is listed
+    driver.pass_time(300)
+    assert isinstance(driver.ended[1], api.Refuse)
+
+
+def reset(driver: Driver, ident: int, took: float, reused: bool) -> None:
+    send = driver.out.pop(ident)
+    driver.feed(api.AttemptEnded(ident, driver.tries[ident] - 1, send.endpoint, Outcome.RESET, took, reused=reused))
+
+
+@pytest.mark.parametrize(("took", "reused", "blamed"), [(1.0, True, False), (1.0, False, True), (90.0, True, True)])
+def test_kept_connection_found_closed_is_no_evidence_about_its_destination(took: float, reused: bool,
+                                                                            blamed: bool) -> None:
+    driver = Driver()
+    driver.listed((1, 1))
+    driver.warm_up()
+    before = driver.relay.lanes[1][-1].blame
+    reset(driver, driver.message(SAFE), took, reused)
+    assert (driver.relay.lanes[1][-1].blame > before) == blamed
+
+
+def test_last_byte_waits_for_unsafe_messages_only_and_only_while_closed_connections_are_met() -> None:
+    driver = Driver()
+    driver.listed((1, 1), rate=1000.0)
+    driver.warm_up()
+    assert driver.last(driver.message(UNSAFE))[1].hold_ms == 0
+    driver.answer(driver.ids)
+    reset(driver, driver.message(SAFE), 1.0, True)
+    driver.pass_time(400)
+    driver.answer(driver.ids)
+    assert driver.last(driver.message(SAFE))[1].hold_ms == 0
+    driver.answer(driver.ids)
+    assert driver.last(driver.message(UNSAFE))[1].hold_ms > 0
+    driver.answer(driver.ids)
+    for _ in range(40):
+        driver.message(SAFE)
+        driver.pass_time(30)
+        send = driver.out.pop(driver.ids)
+        driver.feed(api.AttemptEnded(driver.ids, 0, send.endpoint, Outcome.OK, 100.0, True, reused=True))
+    assert driver.last(driver.message(UNSAFE))[1].hold_ms == 0
+
+
+def test_leaving_takes_on_first_and_ends_before_the_kill_or_once_nothing_is_held() -> None:
+    assert leave(0, 3, 5).takes and leave(TAKES_MS - 1, 0, 0).listens and not leave(TAKES_MS - 1, 0, 0).ends
+    assert not leave(TAKES_MS, 0, 1).takes and not leave(TAKES_MS, 0, 1).ends
+    assert leave(TAKES_MS, 0, 0).ends and leave(END_MS, 4, 9).ends
--- /dev/null
+++ b/tests/net/test_client.py
@@ -0,0 +1,119 @@
+"""The pool: kept connections are looked at before use; a byte that is held back keeps a request unfinished."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from linnetstile.codec import http1
+from linnetstile.decisions.evidence import Sight
+from linnetstile.net import client
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+REQUEST = http1.request("POST", "/", [("Host", "x")], b"body")
+
+
+class Peer:
+    """Gives `answers` in turn, a whole request each; counts connections and whole requests."""
+
+    def __init__(self) -> None:
+        self.connections = self.whole = 0
+        self.came: list[bytes] = []
+        self.reset_on_bytes = False
+        self.extra: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        data = b""
+        while piece := await reader.read(1000):
+            data += piece
+            self.came.append(piece)
+            if self.reset_on_bytes:
+                writer.transport.abort()
+                return
+            if data.endswith(b"body"):
+                self.whole += 1
+                data = b""
+                writer.write(OK + (self.extra.pop(0) if self.extra else b""))
+        writer.close()
+
+
+def play(story: Callable[[Peer, client.Pool, client.Address], Awaitable[None]], most_idle: int = 100) -> None:
+    async def run() -> None:
+        peer = Peer()
+        server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
+        pool = client.Pool(eager=True, most_idle=most_idle)
+        host, port = server.sockets[0].getsockname()[:2]
+        try:
+            await story(peer, pool, (host, port, 1))
+        finally:
+            pool.close()
+            for writer in peer.writers:
+                writer.transport.abort()
+            server.close()
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+async def call(pool: client.Pool, where: client.Address, hold_s: float = 0.0) -> client.Answer:
+    answered: asyncio.Future[client.Answer] = asyncio.get_running_loop().create_future()
+    pool.call(where, "POST", REQUEST, answered.set_result, pool.loop.time() + 3, hold_s=hold_s)
+    return await answered
+
+
+def test_held_back_byte_comes_late_and_makes_the_request_whole() -> None:
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        answer = await call(pool, where, 0.05)
+        assert answer.sight is Sight.ANSWERED and peer.came == [REQUEST[:-1], REQUEST[-1:]]
+        assert (await call(pool, where, 0.05)).rested is not None and peer.connections == 1
+
+    play(story)
+
+
+def test_connection_that_ends_before_the_last_byte_proves_that_nothing_ran() -> None:
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        peer.reset_on_bytes = True
+        assert (await call(pool, where, 0.5)).sight is Sight.CUT and peer.whole == 0
+        assert (await call(pool, where)).sight is Sight.LOST  # without it the end proves nothing
+
+    play(story)
+
+
+def test_kept_connection_that_was_closed_or_speaks_is_not_used() -> None:
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        await call(pool, where)
+        (conn,) = pool.idle[where]
+        peer.writers[0].write(OK)  # as an answer to a request that is still to come
+        conn.transport.pause_reading()
+        await asyncio.sleep(0.05)
+        answer = await call(pool, where)
+        assert answer.sight is Sight.ANSWERED and answer.rested is None
+        assert peer.connections == 2 and peer.whole == 2
+
+    play(story)
+
+
+def test_answer_with_more_behind_it_ends_its_connection() -> None:
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        for extra in (OK, b"\x00noise", b"\r\n"):
+            peer.extra = [extra]
+            assert (await call(pool, where)).sight is Sight.ANSWERED
+            assert not pool.idle.get(where)
+        assert peer.connections == 3
+
+    play(story)
+
+
+def test_no_more_idle_connections_are_kept_than_told_and_none_for_a_successor() -> None:
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        await asyncio.gather(*(call(pool, where) for _ in range(5)))
+        assert pool.resting == len(pool.idle[where]) == 2
+        successor = (str(where[0]), int(where[1]), 2)
+        assert (await call(pool, successor)).rested is None
+        pool.close_idle(successor)
+        assert pool.resting == sum(map(len, pool.idle.values()))
+
+    play(story, most_idle=2)
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import shutil
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -202,6 +203,24 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("said", [
+    b"", b"HTTP/1.1 200 OK\r\nTransfer-Enc", b"HTTP/1.1 500 X\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40\r\n{\"version\":9,\"full\":fal"])
+def test_watch_that_stops_in_the_middle_is_opened_anew_well_before_its_change_counts(tmp_path: Path,
+                                                                                   said: bytes) -> None:
+    async def story(world: World) -> None:
+        world.stall = [said, said]
+        node = await world.node()
+        await until(lambda: node.directory.places, 3.0)
+        (entry,) = world.entries
+        line = json.dumps({"version": 50, "full": False, "servers": [{**entry, "state": "DRAINING"}]}).encode()
+        world.watches[-1].write(b"%x\r\n%s" % (len(line) + 1, line[:-9]))  # the rest never comes
+        world.entries = [{**entry, "state": "DRAINING"}]
+        await until(lambda: not any(lane.doors for lanes in node.relay.lanes.values() for lane in lanes.values()), 2.0)
+
+    play(tmp_path, story)
+
+
 def test_what_can_not_be_written_down_is_refused(tmp_path: Path) -> None:
     async def story(world: World) -> None:
         node = await world.node()
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -46,6 +46,7 @@
         self.watches: list[asyncio.StreamWriter] = []
         self.entries: list[dict[str, Any]] = []
         self.notice_status = [204]
+        self.stall: list[bytes] = []  # a watch says this and no more, one after the other
         self.version = 1
         self.servers: list[asyncio.Server] = []
         self.writers: set[asyncio.StreamWriter] = set()
@@ -93,6 +94,9 @@
                                                                else b"Content-Length: 0\r\n"))
                 else:
                     self.watches.append(writer)
+                    if self.stall:
+                        writer.write(self.stall.pop(0))
+                        continue
                     writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                     self.tell(writer, self.entries, True)
 
