An answer is never lost when idle connections give way; a relay that leaves serves on

Faults: net/client.py, Pool.keep looked at idle[0] of addresses whose list was empty, so ClientConnection._answered never told the call's end; decisions/leaving.py ended early, though the next process starts only after the kill.

Change: empty lists are skipped. After SIGTERM a relay takes messages on until 0.3 s before its end at 3.55 s, then closes idle connections in order and the others with their answer. The module hears Leaving and begins no unsafe call that would be out at the end. Ruled out: the list (heard within 0.3 s), CPU (0.25 of a core), disk.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -8,8 +8,8 @@
 import random
 
 from .interface import (
-    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Listing, ListKind,
-    Message, Outcome, Rates, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared, TimerFired,
+    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Leaving, Listing,
+    ListKind, Message, Outcome, Rates, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared, TimerFired,
     WatchList, Withdrawn,
 )
 from .state import NEVER, Board, Call, Door, Flow, Held, Lane
@@ -74,6 +74,7 @@
         self.starts: dict[int, float] = {}  # kind of destination -> calls a second that may go unpaced
         self.blocked: dict[int, float] = {}  # of a kind: part of answers that follow a missed connection
         self.stale = 0.0  # part of the calls on kept connections that met a closed one
+        self.end_at = float("inf")  # of this process
         self.busy = 0
         self.timer_at = 0.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
@@ -85,6 +86,8 @@
             match event:
                 case Message():
                     self._accept(now_ms, event)
+                case Leaving():
+                    self.end_at = now_ms + event.within_ms
                 case Resumed():
                     self._resume(now_ms, event)
                 case AttemptEnded():
@@ -185,7 +188,7 @@
         self._wait(held)
 
     def _resume(self, now: float, event: Resumed) -> None:
-        """What was taken on before a restart goes on as if there had been none: a call that was out then is an
+        """What was taken on before a restart goes on as if there had been none: a call that was out has an
         unclear outcome, and the gate of every send decides by effect, window, attempts and time left."""
         held = Held(event.message, self.s.classes[event.message.class_], now - event.age_ms,
                     now + event.message.left_ms, 0.0, now, tries=event.tries, risk=event.risk)
@@ -238,6 +241,8 @@
         lane, entry = door.lane, door.entry
         if held.out is not None or entry.id not in self.doors or now >= min(held.last, self._until(held)):
             return False
+        if held.cls.effect is Effect.UNSAFE and now + lane.mean + OVERDUE * lane.dev > self.end_at:
+            return False  # it would be out when the process ends: the next one sends it
         return now >= max(lane.wait_until, held.ready, self._turn(held)) and self._fits(held, entry)
 
     def _until(self, held: Held) -> float:
@@ -322,7 +327,7 @@
         held.ready = now + pause
         if event.wait_ms > 0:  # binds whichever message of a call was told it, the others' answers or not
             self._told(now, door.lane, held.msg.destination, held.ready + event.wait_ms)
-        # A kept connection that its peer, or something on the way, had closed: it says nothing of a destination.
+        # A kept connection that its peer, or something between, had closed says nothing of a destination.
         sudden = event.outcome is Outcome.RESET and event.latency_ms < SUDDEN * door.lane.mean
         stale = event.reused and (sudden or event.outcome is Outcome.CONNECT_FAILED)
         if event.reused:
@@ -576,8 +581,8 @@
             last = last or now + patience + RETRY_MS * 2**held.tries > risk + held.cls.key_window_ms
         if last or now + 2 * patience < held.due:
             until = min(held.due, now + patience * (LAST if last else 1.0))
-        # Guards messages that may not be repeated against a reset that leaves open whether they ran: where closed
-        # connections were met, the last byte waits until one would have shown itself.
+        # Guards messages that may not be repeated against a reset that leaves open whether they ran: where
+        # closed connections were met, the last byte waits until one would have shown itself.
         hold = SUDDEN * lane.mean if held.cls.effect is Effect.UNSAFE and self.stale > STALE else 0.0
         if door.warm:
             door.warm.pop()
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -216,6 +216,13 @@
     risk: Endpoint | None = None  # where that was
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """This process ends: calls that are out then have an unclear outcome; what is held goes on in the next one."""
+
+    within_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     id: int
@@ -279,7 +286,7 @@
     lanes: tuple[tuple[int, int], ...]
 
 
-Event = Union[EndpointList, Message, Resumed, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Learned, Shared]
+Event = Union[EndpointList, Message, Resumed, Leaving, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Learned, Shared]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/decisions/leaving.py
+++ b/linnetstile/decisions/leaving.py
@@ -1,24 +1,22 @@
-"""What a relay does between SIGTERM and its end: takes on, refuses, delivers what is out, ends. No I/O, no clock.
+"""What a relay does between SIGTERM and its end: serves as before, then takes on no more, then ends. No I/O, no clock.
 
-The platform sends SIGTERM, goes on dealing out connections for up to 0.4 s, and kills 3.7 s after SIGTERM at the
-soonest. What is held then goes on in the next process: only calls that are out would have an unclear outcome."""
+The platform kills 3.7 s after SIGTERM at the soonest and starts the next process only after that, so an early end
+serves nobody. What is held then goes on in the next process: only calls that are out would have an unclear outcome."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-TAKES_MS = 450.0  # new connections still come: each of them gets its answer
-END_MS = 3550.0  # before the kill: the last answers have come, and the journal is closed
+END_MS = 3550.0  # before the kill, with the journal closed
+LAST_MS = 300.0  # before the end no more is taken on: clients turn to other relays, each request read has its answer
 
 
 @dataclass(frozen=True, slots=True)
 class Leave:
-    takes: bool  # messages are taken on
-    listens: bool
+    takes: bool  # messages are taken on, and new connections; if not, connections close as they fall idle
     ends: bool
 
 
-def leave(since_ms: float, out: int, held: int) -> Leave:
-    """`since_ms` after SIGTERM, with `out` calls under way and `held` messages in all."""
-    takes = since_ms < TAKES_MS
-    return Leave(takes, takes, since_ms >= END_MS or not takes and not held)
+def leave(since_ms: float) -> Leave:
+    """`since_ms` after SIGTERM."""
+    return Leave(since_ms < END_MS - LAST_MS, since_ms >= END_MS)
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -334,7 +334,7 @@
         self.idle.setdefault(conn.address, []).append(conn)
         self.resting += 1
         if self.resting > self.most_idle:
-            oldest = min((idle[0] for idle in self.idle.values()), key=lambda each: each.idle_since)
+            oldest = min((idle[0] for idle in self.idle.values() if idle), key=lambda each: each.idle_since)
             self.drop(oldest)
             oldest.transport.close()
 
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -484,6 +484,11 @@
                 conn.let_go(why)
         self._sweeper = self.loop.call_later(min(self.bounds.sweep_s, self.bounds.head_s / 4), self._sweep)
 
+    def close_idle(self) -> None:
+        """In order: what a client has sent and nobody has read yet, it may send again elsewhere."""
+        for conn in [conn for conn in self.open if conn.phase == "idle" and not conn.dead]:
+            conn.let_go("idle")
+
     def stop_listening(self) -> None:
         if self._server:
             self._server.close()
--- a/linnetstile/node/front.py
+++ b/linnetstile/node/front.py
@@ -95,12 +95,12 @@
 
 
 class Front:
-    """Listens for clients; `take` gets each hand-in that can be read. `ready` and `closing` are asked each time."""
+    """Listens for clients; `take` gets each hand-in that can be read, `ready` is asked each time."""
 
-    def __init__(self, settings: api.Settings, bounds: Bounds, take: Take, ready: Callable[[], bool],
-                 closing: Callable[[], bool]) -> None:
+    def __init__(self, settings: api.Settings, bounds: Bounds, take: Take, ready: Callable[[], bool]) -> None:
         self.reader = Reader(settings)
-        self.take, self.ready, self.closing = take, ready, closing
+        self.take, self.ready = take, ready
+        self.closing = False
         self.server = server.Server(
             self._request, self._head, http1.Limits(line=4096, head=HEAD, fields=64, body=BODY),
             server.Bounds(bounds.clients, HEAD_S, IDLE_S, pipelined=8, write_bytes=BODY, sweep_s=0.25))
@@ -141,5 +141,12 @@
         else:
             answer(exchange, 200, "healthy")
 
+    def turn_away(self) -> None:
+        """Takes no new connections, and closes those that carry nothing; the others with their answer."""
+        if not self.closing:
+            self.closing = True
+            self.server.stop_listening()
+        self.server.close_idle()
+
     async def start(self, host: str, port: int) -> int:
         return await self.server.start(host, port)
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -72,7 +72,7 @@
         self.watch = Watch(self.directory, settings.discovery, self._listed, self.rng)
         self.finals = Finals(settings.discovery, self._noticed, self.rng)
         self.calls = Calls(settings, self.bounds)
-        self.front = Front(module, self.bounds, self._take, lambda: self.ready, lambda: self.left is not None)
+        self.front = Front(module, self.bounds, self._take, lambda: self.ready)
         self.carried: dict[int, Carried] = {}
         self.owed: dict[int, Kept] = {}  # notices
         self.idents: OrderedDict[str, bool] = OrderedDict()  # taken before; True while it is open
@@ -201,7 +201,7 @@
         self.count("refused" if refused else "failed")
         if carried.exchange is not None:
             answer(carried.exchange, 503 if refused else 500, "refused" if refused else "failed",
-                   close=self.left is not None, wait_ms=stay_ms)
+                   close=self.front.closing, wait_ms=stay_ms)
             carried.exchange = None
             self._forget(ident)
             return
@@ -241,8 +241,8 @@
     def _take(self, exchange: server.Exchange, hand: HandIn) -> None:
         """A message that could be read: refused here only where the module could not judge it."""
         left = hand.left_ms - (self.loop.time() - exchange.began) * 1000
-        if not self.ready or self.left is not None and not self._leave().takes:
-            answer(exchange, 503, "refused: this relay is not taking messages on", close=self.left is not None)
+        if not self.ready or self.front.closing:
+            answer(exchange, 503, "refused: this relay is not taking messages on", close=True)
         elif hand.ident in self.idents:
             self.count("known")
             answer(exchange, 409, "X-Correlation-Id: was handed in before", close=True)
@@ -290,7 +290,7 @@
             if not written:
                 self.count("not_written")
                 answer(exchange, 503, "refused: it can't be kept")
-            elif answer(exchange, 202, close=self.left is not None):
+            elif answer(exchange, 202, close=self.front.closing):
                 self.count("taken")
                 continue
             else:
@@ -366,17 +366,17 @@
         if self.left is None:
             self.left = self.loop.time()
             self.log("leaving", held=len(self.carried))
+            self._tell(api.Leaving(leaving.END_MS))
             self._leaving()
 
     def _leave(self) -> leaving.Leave:
         assert self.left is not None
-        out = sum(carried.attempt is not None for carried in self.carried.values())
-        return leaving.leave((self.loop.time() - self.left) * 1000, out, len(self.carried) + len(self.owed))
+        return leaving.leave((self.loop.time() - self.left) * 1000)
 
     def _leaving(self) -> None:
         now = self._leave()
-        if not now.listens:
-            self.front.server.stop_listening()
+        if not now.takes:
+            self.front.turn_away()
         if now.ends:
             self.over.set()
             return
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -111,6 +111,11 @@
     async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
         await asyncio.gather(*(call(pool, where) for _ in range(5)))
         assert pool.resting == len(pool.idle[where]) == 2
+        other = (str(where[0]), int(where[1]), 3)
+        both = [asyncio.ensure_future(call(pool, where, 0.2)) for _ in range(2)]  # an address with none idle
+        await asyncio.gather(*(call(pool, other) for _ in range(4)))
+        await asyncio.gather(*both)
+        assert pool.resting == sum(map(len, pool.idle.values())) == 2
         successor = (str(where[0]), int(where[1]), 2)
         assert (await call(pool, successor)).rested is None
         pool.close_idle(successor)
