--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -113,8 +113,8 @@
         assert pool.resting == len(pool.idle[where]) == 2
         other = (str(where[0]), int(where[1]), 3)
         both = [asyncio.ensure_future(call(pool, where, 0.2)) for _ in range(2)]  # an address with none idle
-        await asyncio.gather(*(call(pool, other) for _ in range(4)))
-        await asyncio.gather(*both)
+        answers = await asyncio.gather(*(call(pool, other) for _ in range(4)), *both)
+        assert {answer.sight for answer in answers} == {Sight.ANSWERED}
         assert pool.resting == sum(map(len, pool.idle.values())) == 2
         successor = (str(where[0]), int(where[1]), 2)
         assert (await call(pool, successor)).rested is None
