--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -66,7 +66,9 @@
             named = {entry.id for entry in entries}
             gone += [number for number in self.places if number not in named]
         for number in gone:
-            del self.numbers[self.places.pop(number).name]
+            place = self.places.pop(number, None)
+            if place is not None:
+                del self.numbers[place.name]
         if isinstance(told.get("version"), int):
             self.version = told["version"]
         kind = api.ListKind.CACHED if cached else api.ListKind.WHOLE if whole else api.ListKind.CHANGES
--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -99,6 +99,8 @@
         ident, when, zone = ATTEMPTED.unpack_from(content)
         if ident in kept:
             kept[ident].tries += 1
+            # Its process ended before the attempt before this one did: that one may have run.
+            kept[ident].risk = kept[ident].risk or kept[ident].out
             kept[ident].out = when, zone, content[ATTEMPTED.size :].decode()
     else:
         ident, risky = PLAIN.unpack_from(content)
@@ -156,6 +158,11 @@
             self.size = self.most + 1  # is written anew
         return False
 
+    @staticmethod
+    def weight(each: Kept) -> int:
+        """Bytes that a message takes on the disk while it is held, its attempts included."""
+        return len(each.body) + 320
+
     @property
     def full(self) -> bool:
         return self.size > self.most
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -121,6 +121,7 @@
             fields = each.fields
             carried = self.carried[ident] = Carried(fields["ident"], fields["key"], each)
             self.idents[carried.ident] = True
+            self.journal.live += self.journal.weight(each)
             if fields["class"] not in classes:  # the settings have changed: nobody could judge it
                 self._final(ident, {"ref": carried.ident, "result": "dead"})
                 continue
@@ -167,7 +168,7 @@
                 sends.append(action)
             else:
                 self._act(action)
-        self._promise([carried for carried in fresh if carried.exchange is not None])
+        self._promise([carried for carried in fresh if carried.exchange is not None], {send.id for send in sends})
         self._send_all(sends)
         self.journal.flush()
         if self.journal.full:
@@ -221,7 +222,7 @@
     def _forget(self, ident: int) -> Carried:
         carried = self.carried.pop(ident)
         self.idents[carried.ident] = False
-        self.journal.live -= len(carried.kept.body)
+        self.journal.live -= self.journal.weight(carried.kept)
         return carried
 
     def _noticed(self, numbers: list[int]) -> None:
@@ -268,7 +269,7 @@
         carried = Carried(hand.ident, hand.key, kept, exchange)
         exchange.body = b""
         self.carried[self.last] = carried
-        self.journal.live += len(kept.body)
+        self.journal.live += self.journal.weight(kept)
         self.idents[hand.ident] = True
         while len(self.idents) > REMEMBERED:
             ident, open_ = self.idents.popitem(last=False)
@@ -279,8 +280,8 @@
                                key_number(hand.key) if cls.in_order else 0, again=hand.again,
                                from_dead_relay=hand.from_dead))
 
-    def _promise(self, fresh: list[Carried]) -> None:
-        """Taken on: written down first, then told."""
+    def _promise(self, fresh: list[Carried], sent: set[int]) -> None:
+        """Taken on: written down first, then told. What was not goes, now or with the call that was to begin."""
         for carried in fresh:
             self.journal.add(journal.taken(carried.kept.id, carried.kept.fields, carried.kept.body))
         written = self.journal.flush()
@@ -297,7 +298,9 @@
                 self.count("unheard")
                 self.journal.add(journal.ended(carried.kept.id))
             carried.gone = True
-            self._tell(api.Withdrawn(carried.kept.id))
+            if carried.kept.id not in sent:
+                self._forget(carried.kept.id)
+                self._tell(api.Withdrawn(carried.kept.id))
 
     # -- delivery --------------------------------------------------------------------------------------------
 
--- a/tests/node/test_journal.py
+++ b/tests/node/test_journal.py
@@ -33,6 +33,14 @@
     assert journal.replay(story()) == (KEPT, len(story()))
 
 
+def test_attempt_that_a_kill_left_open_stays_a_risk_after_a_later_one() -> None:
+    data = b"".join([journal.taken(1, FIELDS, b""), journal.attempt(1, 1.0, 0, "a"),
+                     journal.attempt(1, 2.0, 0, "b"), journal.outcome(1, False)])
+    kept, _ = journal.replay(data)
+    assert (kept[1].tries, kept[1].risk, kept[1].out) == (2, (1.0, 0, "a"), None)
+    assert journal.replay(b"".join(kept[1].records()))[0] == kept
+
+
 def test_any_cut_or_flipped_byte_loses_only_what_comes_after_it() -> None:
     data = story()
     ends = [journal.replay(data[:cut])[1] for cut in range(len(data) + 1)]
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -11,6 +11,9 @@
 
 import pytest
 
+from linnetstile.net import server
+from linnetstile.node.front import HandIn
+
 from .world import OK, World, ask, hand_in, port_of, until
 
 Story = Callable[[World], Awaitable[None]]
@@ -239,6 +242,30 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("listed", [1, 7])
+def test_client_that_left_before_its_answer_leaves_nothing_behind(tmp_path: Path, listed: int) -> None:
+    async def story(world: World) -> None:
+        await world.endpoint(7, "DRAINING")  # known, and nothing may be sent there
+        node = await world.node()
+        _, writer = await asyncio.open_connection("127.0.0.1", port_of(node))
+        await until(lambda: node.front.server.open)
+        take = node.front.take
+
+        def late(exchange: server.Exchange, hand: HandIn) -> None:
+            take(exchange, hand)
+            exchange.conn.transport.abort()
+
+        node.front.take = late
+        writer.write(hand_in("m", dest=listed))
+        await until(lambda: node.counts.get("unheard"))
+        await asyncio.sleep(0.05)
+        assert not node.carried and not node.relay.board.held and node.journal.live == 0 and not node.relay.busy
+        assert not world.calls and not world.notices
+        writer.close()
+
+    play(tmp_path, story)
+
+
 def test_what_can_not_be_written_down_is_refused(tmp_path: Path) -> None:
     async def story(world: World) -> None:
         node = await world.node()
