--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -1,8 +1,8 @@
 """What this relay owes, in the folder that lasts: one file that is only appended to, written anew now and then.
 
-A record is a head (kind, length, CRC-32 of kind and content) and its content. Reading stops at the first record that
-is not whole: after it nothing was promised, since a promise is given only once its record is written. No fsync: the
-folder outlives the process, and nothing outlives the machine. Times are Unix times in ms."""
+A record is a head (kind, length, CRC-32 of kind and content) and its content. One that is torn or damaged costs
+itself alone: reading goes on at the next sound one. No fsync: the folder outlives the process, and nothing outlives
+the machine. Times are Unix times in ms."""
 
 from __future__ import annotations
 
@@ -17,6 +17,8 @@
 
 HEAD = struct.Struct("<cII")
 TAKEN, ATTEMPT, OUTCOME, OWED, ENDED = b"T", b"A", b"O", b"N", b"E"
+KINDS = (TAKEN, ATTEMPT, OUTCOME, OWED, ENDED)
+LONGEST = 256 * 1024  # bytes of a record's content: a body of 64 KiB and its head
 ATTEMPTED = struct.Struct("<Qdi")  # message, when, zone of the endpoint; its name follows
 PLAIN = struct.Struct("<Q?")  # message, whether the attempt may have run
 
@@ -73,18 +75,39 @@
     return _record(ENDED, PLAIN.pack(ident, False))
 
 
+def _sound(data: bytes, at: int) -> int:
+    """Where the record at `at` ends; 0 if there is none that is whole."""
+    if at + HEAD.size > len(data):
+        return 0
+    kind, size, crc = HEAD.unpack_from(data, at)
+    end = at + HEAD.size + size
+    if kind not in KINDS or size > LONGEST or end > len(data):
+        return 0
+    return end if zlib.crc32(kind + data[at + HEAD.size : end]) == crc else 0
+
+
+def _after(data: bytes, at: int) -> int:
+    """Where reading goes on after a damaged record: where its length says if that holds, or at the next sound one."""
+    if at + HEAD.size <= len(data):
+        end = at + HEAD.size + int(HEAD.unpack_from(data, at)[1])
+        if end == len(data) or _sound(data, end):
+            return end
+    return next((there for there in range(at + 1, len(data)) if _sound(data, there)), len(data))
+
+
 def replay(data: bytes) -> tuple[dict[int, Kept], int]:
-    """What is still owed, by id in the order it was taken, and how many bytes could be read."""
+    """What is still owed, by id in the order it was taken, and how many bytes were no sound record."""
     kept: dict[int, Kept] = {}
-    at = 0
-    while at + HEAD.size <= len(data):
-        kind, size, crc = HEAD.unpack_from(data, at)
-        content = data[at + HEAD.size : at + HEAD.size + size]
-        if len(content) != size or zlib.crc32(kind + content) != crc:
-            break
-        at += HEAD.size + size
-        _apply(kept, kind, content)
-    return kept, at
+    at = lost = 0
+    while at < len(data):
+        end = _sound(data, at)
+        if end:
+            _apply(kept, data[at : at + 1], data[at + HEAD.size : end])
+        else:
+            end = _after(data, at)
+            lost += end - at
+        at = end
+    return kept, lost
 
 
 def _apply(kept: dict[int, Kept], kind: bytes, content: bytes) -> None:
@@ -107,8 +130,8 @@
         if kind == ENDED:
             kept.pop(ident, None)
         elif ident in kept:
-            if risky and kept[ident].risk is None:
-                kept[ident].risk = kept[ident].out
+            if risky and kept[ident].risk is None:  # without its attempt, which was damaged: as early as can be
+                kept[ident].risk = kept[ident].out or (float(kept[ident].fields.get("taken", 0.0)), 0, "")
             kept[ident].out = None
 
 
@@ -121,6 +144,7 @@
     size: int = 0
     live: int = 0  # bytes of the messages held
     failed: int = 0  # writes that failed
+    damaged: int = 0  # bytes that an earlier process left and that could not be read
     error: str = ""
     _file: int = -1
     _added: list[bytes] = field(default_factory=list)
@@ -129,7 +153,7 @@
         """Reads what an earlier process left and goes on from there. Raises OSError."""
         path = self.folder / "journal"
         (self.folder / "journal.new").unlink(missing_ok=True)
-        kept, _ = replay(path.read_bytes()) if path.exists() else ({}, 0)
+        kept, self.damaged = replay(path.read_bytes()) if path.exists() else ({}, 0)
         self.rewrite(kept.values())
         if self._file < 0:
             raise OSError(f"{path}: {self.error}")
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -100,7 +100,7 @@
         self._resume(kept)
         self.ready = True
         self.log("ready", listening=client.shown(self.s.listen), endpoints=len(self.directory.places),
-                 resumed=len(self.carried), notices=len(self.owed))
+                 resumed=len(self.carried), notices=len(self.owed), damaged=self.journal.damaged)
 
     def _known(self) -> None:
         event = self.directory.take(self.s.known, cached=True)  # None where the platform knows none
