A crowd of new connections leaves a relay with few descriptors enough of them

Seen: a relay with 64 descriptors and 200 connections at once, by hand: 'socket.accept() out of system resource' in the log, after which asyncio takes no connection for a second; one hand-in of 40 had no answer in 3 s.

Fault: net/server.py, start: 64 connections are taken in one turn whatever the listener may hold, and the bound counts only after the turn. Change: half of the bound in one turn, 8 to 64. The test starts a process with 64 descriptors and fails without the change.

--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -456,8 +456,10 @@
                 del self.hosts[conn.where]
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
-        """Returns the port. The accept queue holds 1024, of which asyncio takes `ACCEPTS` in one turn."""
-        self._server = await self.loop.create_server(self._made, host, port, backlog=ACCEPTS)
+        """Returns the port. The accept queue holds 1024, of which asyncio takes `ACCEPTS` in one turn, fewer where few
+        may be open: it counts none of them before the turn is over."""
+        turn = min(ACCEPTS, max(8, self.bounds.connections // 2))
+        self._server = await self.loop.create_server(self._made, host, port, backlog=turn)
         for each in self._server.sockets:
             with socket.socket(fileno=os.dup(each.fileno())) as listening:
                 listening.listen(1024)
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -41,6 +42,26 @@
     assert told in error and error.count("\n") == 1
 
 
+def test_few_descriptors_are_left_for_others_by_a_crowd_of_connections(tmp_path: Path) -> None:
+    port = free_port()
+    process = start(tmp_path, {**GOOD, "listen": f"127.0.0.1:{port}", "limits": {"sockets": 64}})
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (64, 64))
+    crowd: list[socket.socket] = []
+    try:
+        wait_for(process, "ready")
+        for _ in range(5):
+            crowd += [socket.create_connection(("127.0.0.1", port), timeout=5) for _ in range(60)]
+            with socket.create_connection(("127.0.0.1", port), timeout=2) as client:
+                client.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 200 " in client.recv(1000)
+    finally:
+        for each in crowd:
+            each.close()
+        process.kill()
+        _, told = process.communicate()
+    assert "fault" not in told
+
+
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
