Tests: a kill after each write, a reload under load, the disk's bound at every instant

Change: the folder is kept as it is after each write of one message's life, and a relay started on each of them: one end, no second effect. Discovery moves three times under load. The sum of the files in blocks stays within the disk, also while both journals are there.

--- a/tests/node/test_journal.py
+++ b/tests/node/test_journal.py
@@ -4,9 +4,11 @@
 
 import os
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from linnetstile.decisions.bounds import bounds
 from linnetstile.node import journal
 from linnetstile.node.journal import Journal, Kept
 
@@ -73,6 +75,42 @@
     assert Journal(tmp_path, 10_000).open() == {ident: KEPT[ident] for ident in (1, 3)}
 
 
+def test_folder_stays_within_the_disk_at_every_instant(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    disk = 100_000
+    sizes = bounds(1024, disk, 8)
+    kept = Journal(tmp_path, sizes.log)
+    kept.open()
+    most = 0
+
+    def measured(*args: Any) -> None:
+        nonlocal most
+        most = max(most, sum(-(-path.stat().st_size // 512) * 512 for path in tmp_path.iterdir()))
+
+    rename = os.rename
+
+    def renamed(*names: Any) -> None:  # both files are there
+        measured()
+        rename(*names)
+
+    monkeypatch.setattr(os, "rename", renamed)
+    held: dict[int, Kept] = {}
+    for ident in range(1, 2000):
+        each = Kept(ident, FIELDS, b"b" * 700)
+        while held and sum(map(kept.weight, held.values())) + kept.weight(each) > sizes.live:
+            gone = next(iter(held))
+            del held[gone]
+            kept.add(journal.ended(gone))
+        held[ident] = each
+        kept.add(journal.taken(ident, FIELDS, each.body))
+        assert kept.flush()
+        measured()
+        if kept.full:
+            kept.rewrite(held.values())
+    assert disk / 2 < most <= disk
+    kept.close()
+    assert Journal(tmp_path, sizes.log).open() == held
+
+
 def test_half_a_write_hides_nothing_that_comes_later(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     kept = Journal(tmp_path, 10_000)
     kept.open()
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -7,12 +7,15 @@
 import json
 import shutil
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 import pytest
 
 from linnetstile.net import server
 from linnetstile.node.front import HandIn
+from linnetstile.node.journal import Journal
+from linnetstile.node.relay import Node
 
 from .world import OK, World, ask, hand_in, port_of, until
 
@@ -32,6 +35,10 @@
     asyncio.run(run())
 
 
+def idle(node: Node) -> bool:
+    return not node.carried and not node.owed
+
+
 def ids(world: World) -> list[str]:
     return [fields["x-correlation-id"] for _, fields, _ in world.calls]
 
@@ -182,6 +189,63 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("class_", ["pay", "state"])
+def test_killed_after_any_write_a_message_has_one_end_and_no_second_effect(tmp_path: Path, class_: str,
+                                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    """The folder as it is after each write of one message's life is what a kill at that moment leaves."""
+    left: list[tuple[Path, int, int]] = []  # the folder, calls that had come, notices posted
+    flush, original = Journal.flush, tmp_path / "journal"
+
+    async def story(world: World) -> None:
+        def flushed(kept: Journal) -> bool:
+            size, done = kept.size, flush(kept)
+            if kept.folder == original and kept.size != size:
+                left.append((tmp_path / f"kill-{len(left)}", len(world.calls), len(world.notices)))
+                shutil.copytree(kept.folder, left[-1][0])
+            return done
+
+        monkeypatch.setattr(Journal, "flush", flushed)
+        where = await world.discovery()
+        first = await world.node(where)
+        world.script[1] = [b"garbage\r\n\r\n", OK]
+        assert await ask(first, hand_in("m", class_)) == 202
+        await until(lambda: not first.carried and not first.owed)
+        await asyncio.sleep(0.05)
+        first.close()
+        world.nodes.clear()
+        assert len(left) >= 4
+        for folder, calls, _ in left:
+            world.state, before, posted = folder, len(world.calls), len(world.notices)
+            again = await world.node(where)
+            await until(partial(idle, again))
+            again.close()
+            world.nodes.clear()
+            sent, told = len(world.calls) - before, len(world.notices) - posted
+            begun = calls > 0 or folder != left[0][0]  # an attempt is in the journal from the second write on
+            if class_ == "pay":
+                assert sent == (0 if begun else 1) and sent + told <= 1
+            else:
+                assert sent <= 1 and not told
+
+    play(tmp_path, story)
+
+
+def test_reload_under_load_disturbs_nothing_that_is_held_or_out(tmp_path: Path) -> None:
+    async def story(world: World) -> None:
+        node = await world.node()
+        for number in range(30):
+            if number % 10 == 5:
+                node.move(await world.discovery())
+            world.script[1] = [b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"] if number % 7 == 6 else []
+            assert await ask(node, hand_in(f"m{number}", "order")) == 202
+        await until(lambda: not node.carried and not node.owed)
+        told = {notice["ref"] for notice in world.notices}
+        assert set(ids(world)) == {f"m{number}" for number in range(30)} and not told
+        assert node.watch.opened == 4
+
+    play(tmp_path, story)
+
+
 def test_notice_is_posted_until_the_platform_has_it_also_after_a_restart_and_a_move(tmp_path: Path) -> None:
     async def story(world: World) -> None:
         where = await world.discovery()
