The node keeps no state that follows from other state

Change: properties, the module's own Withdrawn for messages that were to be sent, the reader's maps.

--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -41,12 +41,11 @@
             yield owed(self.id, self.notice)
             return
         yield taken(self.id, self.fields, self.body)
-        risk = self.risk
-        for _ in range(self.tries - (risk is not None) - (self.out is not None and self.out is not risk)):
+        for _ in range(self.tries - (self.risk is not None) - (self.out is not None)):
             yield attempt(self.id, 0.0, 0, "") + outcome(self.id, False)
-        if risk is not None:
-            yield attempt(self.id, *risk) + (outcome(self.id, True) if self.out is not risk else b"")
-        if self.out is not None and self.out is not risk:
+        if self.risk is not None:
+            yield attempt(self.id, *self.risk) + outcome(self.id, True)
+        if self.out is not None:
             yield attempt(self.id, *self.out)
 
 
@@ -176,7 +175,7 @@
         except OSError as error:
             self.error = error.strerror or repr(error)
         self.failed += 1
-        try:  # half a record would hide all that comes after it
+        try:  # half a record is no promise: reading would only have to search past it
             os.ftruncate(self._file, self.size)
         except OSError:
             self.size = self.most + 1  # is written anew
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -32,9 +32,11 @@
     return time.time() * 1000
 
 
-def key_number(key: str) -> int:
-    """A key as the module knows it: 0 is none."""
-    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=7).digest(), "big") + 1 if key else 0
+def key_number(key: str, cls: api.MessageClass) -> int:
+    """A key as the module knows it, which asks for it in classes in order only: 0 is none."""
+    if not cls.in_order or not key:
+        return 0
+    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=7).digest(), "big") + 1
 
 
 @dataclass(slots=True, eq=False)
@@ -49,12 +51,17 @@
 class Carried:
     """One message from its hand-in to its end. `exchange` is there until the client has its answer."""
 
-    ident: str
-    key: str
     kept: Kept
     exchange: server.Exchange | None = None
     attempt: Attempt | None = None
-    gone: bool = False  # its client never heard that it was taken on
+
+    @property
+    def ident(self) -> str:
+        return str(self.kept.fields["ident"])
+
+    @property
+    def key(self) -> str:
+        return str(self.kept.fields["key"])
 
 
 class Node:
@@ -109,9 +116,7 @@
 
     def _resume(self, kept: dict[int, Kept]) -> None:
         """What an earlier process left: messages go to the module, notices to the platform."""
-        unix = unix_ms()
-        classes = {cls.name: number for number, cls in enumerate(self.s.module.classes)}
-        tenants = {tenant.name: number for number, tenant in enumerate(self.s.module.tenants)}
+        unix, names = unix_ms(), self.front.reader
         for ident, each in kept.items():
             self.last = max(self.last, ident)
             if each.notice is not None:
@@ -119,26 +124,24 @@
                 self.finals.post(ident, each.notice)
                 continue
             fields = each.fields
-            carried = self.carried[ident] = Carried(fields["ident"], fields["key"], each)
+            carried = self.carried[ident] = Carried(each)
             self.idents[carried.ident] = True
             self.journal.live += self.journal.weight(each)
-            if fields["class"] not in classes:  # the settings have changed: nobody could judge it
+            class_ = names.classes.get(fields["class"])
+            if class_ is None:  # the settings have changed: nobody could judge it
                 self._final(ident, {"ref": carried.ident, "result": "dead"})
                 continue
             risk = each.risk or each.out  # what was out when the process ended may have run
             each.risk, each.out = risk, None
             message = api.Message(
-                ident, fields["dest"], classes[fields["class"]], max(0.0, fields["due"] - unix),
-                tenants.get(fields["tenant"], 0), key_number(carried.key) if self._ordered(fields["class"]) else 0)
+                ident, fields["dest"], class_, max(0.0, fields["due"] - unix), names.tenants.get(fields["tenant"], 0),
+                key_number(carried.key, self.s.module.classes[class_]))
             place = self.directory.places.get(self.directory.numbers.get(risk[2], 0)) if risk else None
             where = api.Endpoint(place.number if place else 0, fields["dest"], api.Listing.READY,
                                  zone=risk[1]) if risk else None
             self._tell(api.Resumed(message, max(0.0, unix - fields["taken"]), each.tries,
                                    max(0.0, unix - risk[0]) if risk else None, where))
 
-    def _ordered(self, name: str) -> bool:
-        return any(cls.in_order for cls in self.s.module.classes if cls.name == name)
-
     @property
     def now(self) -> float:
         return self.loop.time() * 1000
@@ -168,7 +171,7 @@
                 sends.append(action)
             else:
                 self._act(action)
-        self._promise([carried for carried in fresh if carried.exchange is not None], {send.id for send in sends})
+        self._promise([carried for carried in fresh if carried.exchange is not None])
         self._send_all(sends)
         self.journal.flush()
         if self.journal.full:
@@ -212,18 +215,15 @@
         self._final(ident, notice)
 
     def _final(self, ident: int, notice: dict[str, object]) -> None:
-        carried = self._forget(ident)
-        if carried.gone:
-            return
+        self._forget(ident)
         self.owed[ident] = Kept(ident, {}, b"", notice=notice)
         self.journal.add(journal.owed(ident, notice))
         self.finals.post(ident, notice)
 
-    def _forget(self, ident: int) -> Carried:
+    def _forget(self, ident: int) -> None:
         carried = self.carried.pop(ident)
         self.idents[carried.ident] = False
         self.journal.live -= self.journal.weight(carried.kept)
-        return carried
 
     def _noticed(self, numbers: list[int]) -> None:
         for number in numbers:
@@ -266,7 +266,7 @@
         cls = module.classes[hand.class_]
         kept = Kept(self.last, {"ident": hand.ident, "class": cls.name, "tenant": tenant, "dest": hand.destination,
                                 "key": hand.key, "taken": round(unix, 1), "due": round(unix + left, 1)}, exchange.body)
-        carried = Carried(hand.ident, hand.key, kept, exchange)
+        carried = Carried(kept, exchange)
         exchange.body = b""
         self.carried[self.last] = carried
         self.journal.live += self.journal.weight(kept)
@@ -277,11 +277,10 @@
                 self.idents[ident] = True
         self.fresh.append(carried)
         self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant,
-                               key_number(hand.key) if cls.in_order else 0, again=hand.again,
-                               from_dead_relay=hand.from_dead))
+                               key_number(hand.key, cls), again=hand.again, from_dead_relay=hand.from_dead))
 
-    def _promise(self, fresh: list[Carried], sent: set[int]) -> None:
-        """Taken on: written down first, then told. What was not goes, now or with the call that was to begin."""
+    def _promise(self, fresh: list[Carried]) -> None:
+        """Taken on: written down first, then told. What its client can't hear of is withdrawn."""
         for carried in fresh:
             self.journal.add(journal.taken(carried.kept.id, carried.kept.fields, carried.kept.body))
         written = self.journal.flush()
@@ -297,10 +296,8 @@
             else:
                 self.count("unheard")
                 self.journal.add(journal.ended(carried.kept.id))
-            carried.gone = True
-            if carried.kept.id not in sent:
-                self._forget(carried.kept.id)
-                self._tell(api.Withdrawn(carried.kept.id))
+            self._forget(carried.kept.id)
+            self._tell(api.Withdrawn(carried.kept.id))
 
     # -- delivery --------------------------------------------------------------------------------------------
 
@@ -308,12 +305,12 @@
         begun: list[tuple[api.Send, Carried, Attempt]] = []
         unix = unix_ms()
         for send in sends:
-            carried = self.carried[send.id]
-            assert carried.attempt is None, "two attempts at once"
-            kept, place = carried.kept, self.directory.places.get(send.endpoint)
-            if carried.gone or place is None:
-                self._outcome(send.id, send.endpoint, kept.tries, api.Outcome.NOT_SENT, 0.0, carried.gone)
+            carried, place = self.carried.get(send.id), self.directory.places.get(send.endpoint)
+            if carried is None or place is None:  # withdrawn in this turn, or the endpoint has just gone
+                self._not_sent(send, carried.kept.tries if carried else 0)
                 continue
+            assert carried.attempt is None, "two attempts at once"
+            kept = carried.kept
             carried.attempt = Attempt(kept.tries, place, self.now)
             kept.tries += 1
             kept.out = unix, place.zone, place.name
@@ -323,7 +320,7 @@
         for send, carried, attempt in begun:
             if not written:
                 carried.kept.out = carried.attempt = None
-                self._outcome(send.id, send.endpoint, attempt.number, api.Outcome.NOT_SENT, 0.0, False)
+                self._not_sent(send, attempt.number)
                 continue
             self.count("attempts")
             fields = [("X-Correlation-Id", carried.ident)]
@@ -344,17 +341,13 @@
             kept.risk = kept.out
         kept.out = None
         self.journal.add(journal.ended(kept.id) if proof.finished else journal.outcome(kept.id, risky))
-        self._outcome(send.id, send.endpoint, attempt.number, outcome, self.now - attempt.began, proof.finished,
-                      proof.wait_ms, proof.no_slot, report, reused)
+        self._tell(api.AttemptEnded(send.id, attempt.number, send.endpoint, outcome, self.now - attempt.began,
+                                    proof.finished, proof.wait_ms, proof.no_slot, report, reused))
         if proof.finished:
             self._forget(kept.id)
 
-    def _outcome(self, ident: int, endpoint: int, number: int, outcome: api.Outcome, took: float, finished: bool,
-                 wait_ms: float = 0.0, no_slot: bool = False, report: tuple[float, ...] = (),
-                 reused: bool = False) -> None:
-        self._tell(api.AttemptEnded(ident, number, endpoint, outcome, took, finished, wait_ms, no_slot, report, reused))
-        if finished and ident in self.carried and self.carried[ident].gone:
-            self._forget(ident)
+    def _not_sent(self, send: api.Send, number: int) -> None:
+        self._tell(api.AttemptEnded(send.id, number, send.endpoint, api.Outcome.NOT_SENT))
 
     # -- signals ---------------------------------------------------------------------------------------------
 
