The pool looks at kept connections in one place and tells only that one was used

Need: read again, an answer carried for how long its connection had rested, which served a probe and no caller; each connection kept two marks so that send could tell new and TLS ones from kept plain ones, which the pool knows by itself; a 200 was recognised by two paths where the first line serves both.

Change: Answer.reused; the look at the kernel's buffer is where kept connections are chosen. No behaviour changed. Tests of net/, http1, node/ and faults/test_outcomes pass (183); two of them ask for reused in place of rested.

--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -38,15 +38,15 @@
 class Answer:
     """How a call ended; `head` and `body` only where it was answered. `whole`: the last byte of the request had left
     this process, so that the peer may have had all of it. `claimed`: the status in the first line of an answer whose
-    rest has not come or can't be read; 0 = none can be read. `rested`: for how long (s) its connection had been kept
-    without a request before; None = it was a new one, or none was made."""
+    rest has not come or can't be read; 0 = none can be read. `reused`: it went out on a connection kept from
+    an earlier call."""
 
     sight: Sight
     head: http1.Response | None = None
     body: bytes = b""
     whole: bool = True
     claimed: int = 0
-    rested: float | None = None
+    reused: bool = False
 
 
 class Call:
@@ -57,7 +57,7 @@
         self.conn: ClientConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.written = False
-        self.rested: float | None = None
+        self.reused = False
         self.hold_s = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
@@ -66,7 +66,7 @@
         if self.timer:
             self.timer.cancel()
         if done:
-            done(answer if self.rested is None else replace(answer, rested=self.rested))
+            done(replace(answer, reused=True) if self.reused else answer)
 
     def forget(self) -> None:
         """Nobody waits any more; the connection may still end in order and be kept."""
@@ -97,9 +97,7 @@
         self.head: http1.Response | None = None
         self.pieces: list[bytes] = []
         self.idle_since = 0.0
-        self.used = False
         self.held = b""  # the end of a request that is held back
-        self.secure = False
         self.began = pool.loop.time()  # of the call
         self.metered(pool.rates.response, pool.rates.request, pool.rates.grace_s)
 
@@ -116,8 +114,6 @@
     def began_to_speak(self) -> bool:
         """The kernel holds bytes or the end of a connection on which nothing is out. Guards the next request against
         the rest of an answer that brought too much, and against a connection that its peer has closed."""
-        if not self.used or self.secure:  # under TLS there may be records that are not for us
-            return False
         socket = self.transport.get_extra_info("socket")
         if socket is None:
             return False
@@ -130,7 +126,7 @@
 
     def send(self, call: Call, method: str, data: Data) -> bool:
         """False if not a byte left: the connection had died, or the first write met that it has."""
-        if self.dead or self.began_to_speak():
+        if self.dead:
             return False
         self.call, call.conn = call, self
         self.began = self.pool.loop.time()
@@ -147,7 +143,7 @@
         if self.transport.is_closing():  # the first write, into an empty buffer, failed as a whole
             self.call = call.conn = None
             return False
-        call.written = self.used = True
+        call.written = True
         return True
 
     def _release(self, call: Call) -> None:
@@ -180,17 +176,14 @@
         call = self.call
         if call is None:
             return
-        if self.pool.eager and call.done is not None and self._counts():
+        if self.pool.eager and call.done is not None and self.parser.claimed == 200:
             # Its first line is true whatever follows: the peer's slot is free, and so is ours. The rest is only read
             # to see whether the connection can be used again.
-            call.finish(Answer(Sight.ANSWERED, self.head, b"", not self.partial, self.parser.claimed))
+            call.finish(Answer(Sight.ANSWERED, self.head, b"", not self.partial, 200))
             call.timer = self.pool.loop.call_later(TAIL_S, call.abort, Sight.TIMED_OUT)
         if self.parser.failed:
             call.abort(Sight.GARBLED)
 
-    def _counts(self) -> bool:
-        return (self.head.status if self.head is not None else self.parser.claimed) == 200
-
     def _take(self, events: list[http1.Event]) -> None:
         for event in events:
             if isinstance(event, http1.Response):
@@ -263,10 +256,12 @@
         while idle:
             conn = idle.pop()
             self.resting -= 1
-            rested = self.loop.time() - conn.idle_since
+            # Under TLS there may be records that are not for us.
+            if conn.dead or secure is None and conn.began_to_speak():
+                continue
             if conn.send(call, method, data):
                 self.counts["reused"] += 1
-                call.rested = rested
+                call.reused = True
                 return call
             # Not a byte left: another connection is no second attempt.
         call.connecting = self.loop.create_task(self._connect(call, address, method, data, secure))
@@ -309,7 +304,6 @@
         if secure is None:
             await self.loop.create_connection(lambda: conn, address[0], address[1])
             return conn
-        conn.secure = True
         ready: asyncio.Future[str | None] = self.loop.create_future()
         keys, name = secure
 
--- a/linnetstile/node/calls.py
+++ b/linnetstile/node/calls.py
@@ -57,7 +57,7 @@
                         whole=answer.whole)
             no_slot = head is not None and head.headers.get("slots-taken") == "1"
             done(endpoint_proof(seen, answer.claimed, no_slot), report(head.headers, self.names) if head else (),
-                 answer.rested is not None)
+                 answer.reused)
 
         return self.pool.call((place.host, place.port, place.number), "POST",
                               http1.request_parts("POST", "/events", headers, body), ended, until,
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -68,7 +68,7 @@
     async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
         answer = await call(pool, where, 0.05)
         assert answer.sight is Sight.ANSWERED and peer.came == [REQUEST[:-1], REQUEST[-1:]]
-        assert (await call(pool, where, 0.05)).rested is not None and peer.connections == 1
+        assert (await call(pool, where, 0.05)).reused and peer.connections == 1
 
     play(story)
 
@@ -90,7 +90,7 @@
         conn.transport.pause_reading()
         await asyncio.sleep(0.05)
         answer = await call(pool, where)
-        assert answer.sight is Sight.ANSWERED and answer.rested is None
+        assert answer.sight is Sight.ANSWERED and not answer.reused
         assert peer.connections == 2 and peer.whole == 2
 
     play(story)
@@ -117,7 +117,7 @@
         assert {answer.sight for answer in answers} == {Sight.ANSWERED}
         assert pool.resting == sum(map(len, pool.idle.values())) == 2
         successor = (str(where[0]), int(where[1]), 2)
-        assert (await call(pool, successor)).rested is None
+        assert not (await call(pool, successor)).reused
         pool.close_idle(successor)
         assert pool.resting == sum(map(len, pool.idle.values()))
 
