One piece hosts the module on an event loop, for both relays

Change: net/turns.py, on the floor beneath both. What is left alike are three arms that read different maps. No behaviour changed: a closed node has no further turn, the AS2 relay's last events have theirs, as before. Tests of node/, service/ and two of faults/ pass as they are (129).

--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -17,6 +17,7 @@
 from ..decisions.control import Relay
 from ..decisions.evidence import Proof, Sight
 from ..net import client, server
+from ..net.turns import Turns
 from . import journal
 from .calls import Calls
 from .config import Address, NodeSettings
@@ -83,12 +84,11 @@
         self.carried: dict[int, Carried] = {}
         self.owed: dict[int, Kept] = {}  # notices
         self.idents: OrderedDict[str, bool] = OrderedDict()  # taken before; True while it is open
-        self.events: list[api.Event] = []
+        self.turns = Turns(self.relay, self._turn)
+        self._tell = self.turns.tell
         self.fresh: list[Carried] = []  # handed in since the last turn
-        self.planned = False
-        self.timer: asyncio.TimerHandle | None = None
         self.last = 0
-        self.ready = self.closed = False
+        self.ready = False
         self.left: float | None = None  # loop time, s, of the signal to end
         self.over = asyncio.Event()
         self.counts: dict[str, int] = {}
@@ -144,29 +144,19 @@
 
     @property
     def now(self) -> float:
-        return self.loop.time() * 1000
+        return self.turns.now
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
     # -- the module ------------------------------------------------------------------------------------------
 
-    def _tell(self, event: api.Event) -> None:
-        self.events.append(event)
-        if not self.planned:
-            self.planned = True
-            self.loop.call_soon(self._turn)
-
-    def _turn(self) -> None:
+    def _turn(self, events: list[api.Event], actions: list[api.Action]) -> None:
         """One turn of the module. What it takes on is in the journal before its client hears of it, and an attempt is
         in the journal before its call begins."""
-        self.planned = False
-        if self.closed:  # what ends with the process is judged by the next one, from the journal
-            return
-        events, self.events = self.events, []
         fresh, self.fresh = self.fresh, []
         sends: list[api.Send] = []
-        for action in self.relay.handle(self.now, events):
+        for action in actions:
             if isinstance(action, api.Send):
                 sends.append(action)
             else:
@@ -183,10 +173,6 @@
                 self._over(ident, True, stay)
             case api.Fail(ident):
                 self._over(ident, False, 0.0)
-            case api.SetTimer(delay, token):
-                if self.timer:
-                    self.timer.cancel()
-                self.timer = self.loop.call_later(delay / 1000, self._tell, api.TimerFired(token))
             case api.Cancel(ident, number):
                 attempt = self.carried[ident].attempt if ident in self.carried else None
                 if attempt and attempt.number == number and attempt.call:
@@ -194,8 +180,6 @@
             case api.CloseIdle(endpoint):
                 if endpoint in self.directory.places:
                     self.calls.close_idle(self.directory.places[endpoint])
-            case api.Probe(endpoint):
-                self._tell(api.ProbeEnded(endpoint, api.Outcome.NOT_SENT))  # the platform's endpoints have no probe
             case api.Log(text):
                 self.log("module", text=text)
 
@@ -380,9 +364,7 @@
 
     def close(self) -> None:
         """Ends every connection; what is owed is in the journal."""
-        self.closed = True
-        if self.timer:
-            self.timer.cancel()
+        self.turns.close()  # what ends with the process is judged by the next one, from the journal
         self.journal.flush()
         self.watch.close()
         self.finals.close()
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -25,6 +25,7 @@
 from ..decisions.shares import Charge
 from ..net import client, server
 from ..net.tls import Keys, TlsError
+from ..net.turns import Turns
 from ..telemetry import log as names
 from .admin import Admin
 from .knowledge import Knowledge
@@ -138,10 +139,9 @@
         self.carried: dict[int, Carried] = {}
         self.tokens: dict[str, tuple[Carried, Attempt]] = {}
         self.counts: dict[str, int] = {}
-        self.events: list[api.Event] = []
-        self.planned = False
+        self.turns = Turns(self.relay, self._turn)
+        self._tell = self.turns.tell
         self.ids = 0
-        self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
         self.stopped = asyncio.Event()
         self.address = ""
@@ -162,7 +162,7 @@
             self._every(self.s.limits.self_check_ms, self.verify)
         if self.keys or self.partner_keys:
             self._every(1000.0, self._renew)
-        self._plan()
+        self.turns.plan()
         return self.address
 
     def stop(self) -> None:
@@ -223,7 +223,7 @@
         told = f"{len(owned)} charges, {len(reading)} read, {len(held)} held"
         assert owned == reading | held, f"room held by nobody: {told}"
         out = [carried.attempt for carried in self.carried.values() if carried.attempt is not None]
-        assert len(out) <= self.relay.busy + len(self.events), f"{len(out)} attempts, {self.relay.busy} slots"
+        assert len(out) <= self.relay.busy + len(self.turns.events), f"{len(out)} attempts, {self.relay.busy} slots"
         assert set(self.tokens) == {a.token for a in out if a.token}, "a receipt address without attempt"
         calls = {id(conn.call) for conn in self.pool.open if conn.call is not None and conn.call.done is not None}
         ours = {id(attempt.call) for attempt in out if attempt.call is not None}
@@ -252,8 +252,7 @@
         self.room.close()
         if self.admin:
             self.admin.close()
-        if self.timer:
-            self.timer.cancel()
+        self.turns.stop()
         for handle in self.handbacks:
             handle.cancel()
         self.server.close()
@@ -266,24 +265,13 @@
 
     @property
     def now(self) -> float:
-        return self.loop.time() * 1000
+        return self.turns.now
 
     # -- the module ------------------------------------------------------------------------------------------
 
-    def _tell(self, event: api.Event) -> None:
-        self.events.append(event)
-        self._plan()
-
-    def _plan(self) -> None:
-        if not self.planned:
-            self.planned = True
-            self.loop.call_soon(self._turn)
-
-    def _turn(self) -> None:
+    def _turn(self, events: list[api.Event], actions: list[api.Action]) -> None:
         """One turn of the module: all that happened since the last one, in its order."""
-        self.planned = False
-        events, self.events = self.events, []
-        for action in self.relay.handle(self.now, events):
+        for action in actions:
             self._act(action)
         if any(isinstance(event, api.EndpointList) and event.entries for event in events):
             self.knowledge.learn()  # lanes that came with this list may be known to others
@@ -301,10 +289,6 @@
                 text = f"failed: {self._why(carried)}; it may or may not have taken effect"
                 own = self.receipts.own(carried.head, text)
                 self._final(carried, Answer(own.status, own.headers, own.body, "failed"))
-            case api.SetTimer(delay, token):
-                if self.timer:
-                    self.timer.cancel()
-                self.timer = self.loop.call_later(delay / 1000, self._tell, api.TimerFired(token))
             case api.Cancel(ident, number):
                 attempt = self.carried[ident].attempt if ident in self.carried else None
                 if attempt and attempt.number == number and attempt.call:
@@ -314,8 +298,6 @@
                     self.pool.close_idle(self.register.places[endpoint].address)
             case api.WatchList():
                 self.register.ask()
-            case api.Probe(endpoint):
-                self._tell(api.ProbeEnded(endpoint, api.Outcome.NOT_SENT))  # AS2 has no probe
             case api.Log(text):
                 self.log.info("module", text=text)
 
