Waits and sizes of the platform's relay stand with the decisions

Change: they stand in decisions/bounds.py; the part of the idle time is KEPT in control.py, used by both. Values are as before.

--- a/linnetstile/decisions/bounds.py
+++ b/linnetstile/decisions/bounds.py
@@ -12,6 +12,11 @@
 FIRST_S = 1.0  # or before anything came: discovery is down, or the connection leads nowhere
 SETTLE_S = 1.0  # a start waits so long for discovery's list before it makes do with the known one
 NOTICE_S = 1.0  # one post of notices may take so long: the platform answers at once
+CONNECT_S = 1.0  # a watch's connection may take so long to be made: its peer is on this machine
+WATCH_MS = 50.0, 1000.0  # first and longest pause before a watch is opened anew
+POST_MS = 20.0, 500.0  # the same before notices are posted again
+REMEMBERED = 20_000  # identifiers that were taken, ended ones included: the same again is no new message
+RECORDS = 320  # bytes that a held message takes in the journal beside its body: fields and attempts
 BODY = 64 * 1024  # bytes, the platform's bound on a body
 HEAD = 16 * 1024  # bytes of a head
 LONGEST_LEFT = 4.0  # a time left beyond so many deadlines of its class is an error of the client
@@ -40,6 +45,8 @@
     return STALL_S if part else QUIET_S if useful else FIRST_S
 
 
-def pause_ms(fails: int, first: float, most: float, rng: random.Random) -> float:
-    """Growing, jittered pause before discovery or the platform is asked again after `fails` failures in a row."""
+def pause_ms(fails: int, pauses: tuple[float, float], rng: random.Random) -> float:
+    """Growing, jittered pause before discovery or the platform is asked again after `fails` failures in a row;
+    `pauses` are the first and the longest one."""
+    first, most = pauses
     return float(min(most, first * 2 ** min(fails - 1, 16)) * rng.uniform(0.5, 1.0))
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -36,6 +36,7 @@
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
 SEEN = 0.05  # weight of one call in what is known of a kind of destination: some twenty calls
 SCARCE = 0.04  # part of answers after a missed connection above which idle ones are closed: one in SEEN
+KEPT = 0.9  # part of the idle time after which a connection counts as closed: the peer's clock may be ahead
 SUDDEN = 0.3  # a kept connection reset within this part of a usual answer had been closed before
 STALE = 0.02  # part of the calls on kept connections that met a closed one, above which unsafe ones wait
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
@@ -506,7 +507,7 @@
             zone = door.entry.zone
             fee = self.s.route_fees[zone] if zone < len(self.s.route_fees) else 0.0
             fee += self.s.cross_zone_price * (zone != self.s.zone)
-            door.warm = [at for at in door.warm if now - at < self.s.idle_ms * 0.9]
+            door.warm = [at for at in door.warm if now - at < self.s.idle_ms * KEPT]
             recent = [class_ for class_, at in door.faults.items() if now - at < FADE_MS]
             load = door.out + 8.0 * (held.msg.class_ in recent) + 2.0 * len(recent)
             return load + 0.9 * (not door.warm) + 1.5 * (fee > 0), fee, door.entry.id
--- a/linnetstile/node/calls.py
+++ b/linnetstile/node/calls.py
@@ -8,6 +8,7 @@
 
 from ..codec import http1
 from ..decisions.bounds import BODY, HEAD, Bounds
+from ..decisions.control import KEPT
 from ..decisions.evidence import Proof, Seen, endpoint_proof
 from ..net import client
 from .config import NodeSettings
@@ -40,7 +41,7 @@
     def __init__(self, settings: NodeSettings, bounds: Bounds) -> None:
         module = settings.module
         self.names = settings.report
-        idle_s = module.idle_ms * 0.9 / 1000 if module.idle_ms else 5.0  # the module counts on so much, see `_door`
+        idle_s = module.idle_ms * KEPT / 1000 if module.idle_ms else 5.0  # the module counts on no more
         self.pool = client.Pool(module.connect_timeout_ms / 1000 or 1.5, idle_s,
                                 http1.Limits(body=BODY, head=HEAD), eager=True, most_idle=bounds.idle)
 
--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -11,13 +11,12 @@
 
 from ..codec import http1
 from ..decisions import interface as api
-from ..decisions.bounds import pause_ms, silence_s
+from ..decisions.bounds import CONNECT_S, WATCH_MS, pause_ms, silence_s
 from ..net.wire import Wire
 from .config import Address, address
 
 STATES = {"SERVING": api.Listing.READY, "DRAINING": api.Listing.DRAINING, "DELETED": api.Listing.GONE}
 LINE = 8 * 1024 * 1024  # bytes: a longer line of the watch is no list
-CONNECT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,7 +200,7 @@
                 if stream.useful:
                     self.fails = 0
             self.fails += 1
-            await asyncio.sleep(pause_ms(self.fails, 50.0, 1000.0, self.rng) / 1000)
+            await asyncio.sleep(pause_ms(self.fails, WATCH_MS, self.rng) / 1000)
 
     async def _read(self, stream: _Stream) -> None:
         self.stream = stream
--- a/linnetstile/node/finals.py
+++ b/linnetstile/node/finals.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ..codec import http1
-from ..decisions.bounds import BODY, NOTICE_S, pause_ms
+from ..decisions.bounds import BODY, NOTICE_S, POST_MS, pause_ms
 from ..decisions.evidence import Sight
 from ..net import client
 from .config import Address
@@ -73,7 +73,7 @@
         if not self.owed:
             self.one_by_one = False
             return
-        pause = pause_ms(self.fails, 20.0, 500.0, self.rng) / 1000 if self.fails and not self.one_by_one else 0.0
+        pause = pause_ms(self.fails, POST_MS, self.rng) / 1000 if self.fails and not self.one_by_one else 0.0
         self.timer = self.loop.call_later(pause, self._go)
 
     def close(self) -> None:
--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -15,6 +15,8 @@
 from pathlib import Path
 from typing import Any
 
+from ..decisions.bounds import RECORDS
+
 HEAD = struct.Struct("<cII")
 TAKEN, ATTEMPT, OUTCOME, OWED, ENDED = b"T", b"A", b"O", b"N", b"E"
 KINDS = (TAKEN, ATTEMPT, OUTCOME, OWED, ENDED)
@@ -184,7 +186,7 @@
     @staticmethod
     def weight(each: Kept) -> int:
         """Bytes that a message takes on the disk while it is held, its attempts included."""
-        return len(each.body) + 320
+        return len(each.body) + RECORDS
 
     @property
     def full(self) -> bool:
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -13,7 +13,7 @@
 
 from ..decisions import interface as api
 from ..decisions import leaving
-from ..decisions.bounds import SETTLE_S, bounds
+from ..decisions.bounds import REMEMBERED, SETTLE_S, bounds
 from ..decisions.control import Relay
 from ..decisions.evidence import Proof, Sight
 from ..net import client, server
@@ -26,8 +26,6 @@
 from .front import Front, HandIn, answer
 from .journal import Journal, Kept
 
-REMEMBERED = 20_000  # identifiers that were taken, ended ones included
-
 
 def unix_ms() -> float:
     return time.time() * 1000
