A keyed call leaves within its key's window or not at all, however long its connection takes

At fault: net/client.py, Pool._connect wrote the request whenever the connection came up, up to connect_timeout_ms (1500) after the decision; control.py, _until, bounds the decision alone and could not tell the writer.

Mend: Send.begin_by_ms, told by the module (the same function as its own gate); the pool writes the last byte by then or ends the call as NOT_SENT; what a full buffer or a held byte still keeps then is cut. Tests: module, pool (slow connection, connection in the last moment, full buffer, held byte) and the users' case on the node, which fails without the mend.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -248,10 +248,15 @@
 
     def _until(self, held: Held) -> float:
         """Until when another try is allowed: not past the attempts, nor where it could take effect twice."""
-        if held.tries >= self.s.attempts or held.first_risk is not None and held.cls.effect is Effect.UNSAFE:
-            return NEVER
+        return NEVER if held.tries >= self.s.attempts else self._begin_by(held)
+
+    def _begin_by(self, held: Held) -> float:
+        """Until when the last byte of a try may leave. A connection may take long to be made, and the network holds
+        what was decided in time until it is too late: only the writer of that byte can keep to it."""
         if held.first_risk is None or held.cls.effect is Effect.SAFE:
             return held.due
+        if held.cls.effect is Effect.UNSAFE:
+            return NEVER
         # Leaves room for the way: a destination may look its keys up as late as it usually answers.
         return held.first_risk + held.cls.key_window_ms - self.s.tick_ms - self.usual[0]
 
@@ -603,4 +608,4 @@
         for rider in riders:
             self.board.unqueue(rider)
             rider.out, rider.out_since, rider.tries = call, now, rider.tries + 1
-            acts.append(Send(rider.msg.id, door.entry.id, min(until, rider.due), hold))
+            acts.append(Send(rider.msg.id, door.entry.id, min(until, rider.due), hold, self._begin_by(rider)))
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -295,6 +295,7 @@
     endpoint: int
     give_up_at_ms: float
     hold_ms: float = 0.0  # its last byte is held back so long: a connection that ends before carried no call
+    begin_by_ms: float = float("inf")  # its last byte leaves by then or not at all: NOT_SENT, or CONNECT_FAILED
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import select
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -59,6 +60,7 @@
         self.written = False
         self.reused = False
         self.hold_s = 0.0
+        self.begin_by = math.inf  # loop time, s
         self.timer: asyncio.TimerHandle | None = None
 
     def finish(self, answer: Answer) -> None:
@@ -125,8 +127,8 @@
         return True
 
     def send(self, call: Call, method: str, data: Data) -> bool:
-        """False if not a byte left: the connection had died, or the first write met that it has."""
-        if self.dead:
+        """False if not a byte left: the connection had died, or the first write met that it has, or it is too late."""
+        if self.dead or self.pool.loop.time() > call.begin_by:
             return False
         self.call, call.conn = call, self
         self.began = self.pool.loop.time()
@@ -144,8 +146,15 @@
             self.call = call.conn = None
             return False
         call.written = True
+        if self.partial and call.begin_by < math.inf:
+            self.pool.loop.call_at(call.begin_by, self._late, call)
         return True
 
+    def _late(self, call: Call) -> None:
+        """What has not left by now must not: a peer that reads on, or a network that is back, would have it whole."""
+        if self.call is call and self.partial:
+            call.abort(Sight.CUT)
+
     def _release(self, call: Call) -> None:
         held, self.held = self.held, b""
         if self.call is call and held:
@@ -245,15 +254,17 @@
         self._sweeper = self.loop.call_later(self._every, self._sweep)
 
     def call(self, address: Address, method: str, data: Data, done: Callable[[Answer], None],
-             until: float | None = None, secure: Secure | None = None, hold_s: float = 0.0) -> Call:
+             until: float | None = None, secure: Secure | None = None, hold_s: float = 0.0,
+             begin_by: float = math.inf) -> Call:
         """Sends one request, in one piece or several; `until` is the loop time at which it times out. Its last byte is
-        held back for `hold_s`: a connection that ends before then, as one does that had been closed, had no request."""
+        held back for `hold_s`: a connection that ends before then, as one does that had been closed, had no request.
+        It leaves by the loop time `begin_by` or not at all, however long a connection takes to be made."""
         call = Call(done)
         if until is not None:
             call.timer = self.loop.call_at(until, call.abort, Sight.TIMED_OUT)
         idle = self.idle.get(address, [])
-        call.hold_s = hold_s
-        while idle:
+        call.hold_s, call.begin_by = hold_s, begin_by
+        while idle and self.loop.time() <= begin_by:
             conn = idle.pop()
             self.resting -= 1
             # Under TLS there may be records that are not for us.
@@ -272,7 +283,7 @@
         sight = Sight.NO_CONNECTION
         conn: ClientConnection | None = None
         try:
-            async with asyncio.timeout(self.connect_s):
+            async with asyncio.timeout(min(self.connect_s, call.begin_by - self.loop.time())):
                 try:
                     conn = await self._open(address, secure)
                 except OSError as error:
@@ -288,12 +299,14 @@
         except (OSError, TimeoutError):
             self.counts["failed"] += 1
             call.connecting = None
-            call.finish(Answer(sight))
+            call.finish(Answer(Sight.NOT_SENT if self.loop.time() >= call.begin_by else sight))
             return
         call.connecting = None
         if call.done is None:
             conn.transport.close()
         elif not conn.send(call, method, data):
+            if not conn.dead:
+                self.keep(conn)  # too late for this call, and good for another one
             call.finish(Answer(Sight.NOT_SENT))
 
     async def _open(self, address: Address, secure: Secure | None) -> ClientConnection:
--- a/linnetstile/node/calls.py
+++ b/linnetstile/node/calls.py
@@ -46,9 +46,9 @@
                                 http1.Limits(body=BODY, head=HEAD), eager=True, most_idle=bounds.idle)
 
     def send(self, place: Place, fields: list[tuple[str, str]], body: bytes, left_ms: float, hold_ms: float,
-             done: Done) -> client.Call:
-        """Begins one attempt that is given up after `left_ms`, its last byte held back for `hold_ms`; `done` is called
-        once, and not from within."""
+             begin_ms: float, done: Done) -> client.Call:
+        """Begins one attempt that is given up after `left_ms`, its last byte held back for `hold_ms` and not
+        written after `begin_ms` from now; `done` is called once, and not from within."""
         headers = [("Host", f"{place.host}:{place.port}"), ("X-Time-Left", f"{max(1, int(left_ms))}m"), *fields]
         until = self.pool.loop.time() + max(0.0, left_ms) / 1000
 
@@ -62,7 +62,7 @@
 
         return self.pool.call((place.host, place.port, place.number), "POST",
                               http1.request_parts("POST", "/events", headers, body), ended, until,
-                              hold_s=hold_ms / 1000)
+                              hold_s=hold_ms / 1000, begin_by=self.pool.loop.time() + begin_ms / 1000)
 
     def close_idle(self, place: Place) -> None:
         self.pool.close_idle((place.host, place.port, place.number))
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -278,8 +278,8 @@
 
     def _act(self, action: api.Action) -> None:
         match action:
-            case api.Send(ident, endpoint, until):
-                self._send(self.carried[ident], endpoint, until)
+            case api.Send(ident, endpoint, until, begin_by_ms=begin_by):
+                self._send(self.carried[ident], endpoint, until, begin_by)
             case api.Refuse(ident, stay):
                 carried = self.carried[ident]
                 text = f"refused: {self._why(carried)}; nothing was done, it may be handed in again"
@@ -440,7 +440,7 @@
 
     # -- delivery --------------------------------------------------------------------------------------------
 
-    def _send(self, carried: Carried, endpoint: int, until: float) -> None:
+    def _send(self, carried: Carried, endpoint: int, until: float, begin_by: float) -> None:
         assert carried.attempt is None, "two attempts at once"
         attempt = Attempt(carried.tries, endpoint, self.now)
         carried.tries += 1
@@ -462,7 +462,8 @@
             secure = keys, own.tls.name or place.address[0]
         data = http1.request_parts("POST", place.target, self._fields(carried, attempt, place), carried.body)
         attempt.call = self.pool.call(place.address, "POST", data,
-                                      lambda answer: self._answered(carried, attempt, answer), until / 1000, secure)
+                                      lambda answer: self._answered(carried, attempt, answer), until / 1000, secure,
+                                      begin_by=begin_by / 1000)
         if attempt.token:
             attempt.timer = self.loop.call_at(until / 1000, self._no_receipt, carried, attempt)
 
--- a/tests/decisions/test_platform.py
+++ b/tests/decisions/test_platform.py
@@ -127,3 +127,19 @@
     driver.pass_time(950)
     late, other = driver.message(UNSAFE), driver.message(SAFE)
     assert early in driver.tries and other in driver.tries and late not in driver.tries and late not in driver.ended
+
+
+@pytest.mark.parametrize("class_", [SAFE, KEYED, UNSAFE])
+def test_last_byte_leaves_within_the_keys_window_or_not_at_all(class_: int) -> None:
+    driver = Driver()
+    driver.listed((1, 1))
+    driver.warm_up()
+    began, first = driver.last(driver.message(class_))
+    assert first.begin_by_ms == driver.now + 1e4  # nothing has run: until the message's time is up
+    driver.answer(driver.ids, Outcome.RESET)
+    driver.pass_time(400)
+    tries = [send for _, send in driver.sent if send.id == driver.ids][1:]
+    assert len(tries) == (class_ != UNSAFE)
+    for again in tries:
+        window = CLASSES[KEYED].key_window_ms if class_ == KEYED else 1e4
+        assert began < again.begin_by_ms <= began + window
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -4,6 +4,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
 
 from linnetstile.codec import http1
 from linnetstile.decisions.evidence import Sight
@@ -22,10 +25,13 @@
         self.reset_on_bytes = False
         self.extra: list[bytes] = []
         self.writers: list[asyncio.StreamWriter] = []
+        self.reads: asyncio.Event | None = None  # nothing is read before
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self.writers.append(writer)
+        if self.reads is not None:
+            await self.reads.wait()
         data = b""
         while piece := await reader.read(1000):
             data += piece
@@ -58,9 +64,11 @@
     asyncio.run(run())
 
 
-async def call(pool: client.Pool, where: client.Address, hold_s: float = 0.0) -> client.Answer:
+async def call(pool: client.Pool, where: client.Address, hold_s: float = 0.0, begin_s: float = 9.0,
+               data: bytes = REQUEST) -> client.Answer:
     answered: asyncio.Future[client.Answer] = asyncio.get_running_loop().create_future()
-    pool.call(where, "POST", REQUEST, answered.set_result, pool.loop.time() + 3, hold_s=hold_s)
+    pool.call(where, "POST", data, answered.set_result, pool.loop.time() + 3, hold_s=hold_s,
+              begin_by=pool.loop.time() + begin_s)
     return await answered
 
 
@@ -122,3 +130,50 @@
         assert pool.resting == sum(map(len, pool.idle.values()))
 
     play(story, most_idle=2)
+
+
+@pytest.mark.parametrize(("makes_s", "sight"), [(0.0, Sight.ANSWERED), (0.6, Sight.NOT_SENT)])
+def test_connection_that_comes_up_too_late_carries_nothing(makes_s: float, sight: Sight,
+                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    opens = client.Pool._open
+
+    async def slow(pool: client.Pool, *where: Any) -> client.ClientConnection:
+        await asyncio.sleep(makes_s)
+        return await opens(pool, *where)
+
+    monkeypatch.setattr(client.Pool, "_open", slow)
+
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        assert (await call(pool, where, begin_s=0.3)).sight is sight
+        await asyncio.sleep(makes_s)
+        assert peer.whole == (sight is Sight.ANSWERED)
+
+    play(story)
+
+
+def test_connection_that_came_up_in_the_last_moment_waits_for_another_call() -> None:
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        conn = await pool._open(where, None)
+        late: asyncio.Future[client.Answer] = pool.loop.create_future()
+        attempt = client.Call(late.set_result)
+        attempt.begin_by = pool.loop.time() - 0.001
+        assert not conn.send(attempt, "POST", REQUEST) and not conn.dead
+        assert (await call(pool, where, begin_s=-0.001)).sight is Sight.NOT_SENT
+        await asyncio.sleep(0.05)
+        assert peer.whole == 0 and not peer.came
+
+    play(story)
+
+
+@pytest.mark.parametrize("hold_s", [0.0, 5.0])
+def test_last_byte_that_has_not_left_in_time_never_leaves(hold_s: float) -> None:
+    big = REQUEST if hold_s else http1.request("POST", "/", [("Host", "x")], bytes(16_000_000) + b"body")
+
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        peer.reads = asyncio.Event()
+        assert (await call(pool, where, hold_s, 0.2, big)).sight is Sight.CUT
+        peer.reads.set()
+        await asyncio.sleep(0.1)
+        assert peer.whole == 0
+
+    play(story)
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -9,15 +9,16 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from linnetstile.net import server
+from linnetstile.net import client, server
 from linnetstile.node.front import HandIn
 from linnetstile.node.journal import Journal
 from linnetstile.node.relay import Node
 
-from .world import OK, World, ask, hand_in, port_of, until
+from .world import OK, RAW, World, ask, hand_in, port_of, until
 
 Story = Callable[[World], Awaitable[None]]
 
@@ -361,3 +362,32 @@
         writer.close()
 
     play(tmp_path, story)
+
+
+def test_work_that_may_run_only_once_is_not_sent_again_by_a_connection_that_comes_up_late(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The fleet's case: a second try was decided inside the key's window, its connection took a second to be made
+    (the listener's queue was full), and the request left outside the window."""
+    raw = json.loads(json.dumps(RAW))
+    raw["classes"][0]["window-ms"] = 1200.0
+    raw["limits"]["connect-timeout-ms"] = 3000.0
+
+    async def story(world: World) -> None:
+        world.raw = raw
+        world.script[1] = [b"HTTP/1.1 500 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"]
+        node = await world.node()
+        assert await ask(node, hand_in("k", "order")) == 202
+        await until(lambda: ids(world) == ["k"])
+        opens = node.calls.pool._open
+
+        async def late(*where: Any) -> client.ClientConnection:
+            await asyncio.sleep(1.4)
+            return await opens(*where)
+
+        monkeypatch.setattr(node.calls.pool, "_open", late)
+        await until(lambda: world.notices)
+        await asyncio.sleep(1.6)
+        assert node.counts["attempts"] == 2  # the second one was decided, and ended without a byte
+        assert ids(world) == ["k"] and world.notices == [{"ref": "k", "result": "dead"}]
+
+    play(tmp_path, story)
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -52,6 +52,7 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self.nodes: list[Node] = []
         self.connections = 0  # made to endpoints
+        self.raw = RAW  # the settings of the next relay
 
     async def listen(self, serve: Serve) -> int:
         async def held(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -110,7 +111,7 @@
     async def node(self, discovery: tuple[str, int] | None = None, **limits: Any) -> Node:
         """A relay of this world, ready."""
         settings = config.NodeSettings("n0", ("127.0.0.1", 0), discovery or await self.discovery(), self.state, 1,
-                                       config.Limits(**limits), {}, platform.settings_from(RAW), ("z",))
+                                       config.Limits(**limits), {}, platform.settings_from(self.raw), ("z",))
         node = Node(settings, lambda event, **fields: None)
         await node.start()
         self.nodes.append(node)
