What a told wait or a leaving endpoint overtakes is recalled, unless its last byte has left

At fault: control.py, _told, shut the gate for what is decided later alone; net/client.py, _connect, writes what was decided up to 1.5 s before. The same holds for an endpoint that is listed as draining meanwhile (_listed, _drop).

Mend: action Recall, told for what is out at the destination or endpoint; the host ends the attempt as NOT_SENT if its last byte has not left, else nothing changes. On the simulator a call leaves at once, so its adapter drops it.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -9,8 +9,8 @@
 
 from .interface import (
     Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Leaving, Listing,
-    ListKind, Message, Outcome, Rates, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared, TimerFired,
-    WatchList, Withdrawn,
+    ListKind, Message, Outcome, Rates, Recall, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared,
+    TimerFired, WatchList, Withdrawn,
 )
 from .state import NEVER, Board, Call, Door, Flow, Held, Lane
 
@@ -94,11 +94,11 @@
                 case AttemptEnded():
                     self._ended(now_ms, event, acts)
                 case EndpointList():
-                    self._listed(now_ms, event)
+                    self._listed(now_ms, event, acts)
                 case Withdrawn():
                     self._withdraw(event.id)
                 case Learned():
-                    self._learn(now_ms, event)
+                    self._learn(now_ms, event, acts)
                 case Shared():
                     for dest, route in event.lanes:
                         if lane := self.lanes.get(dest, {}).get(route):
@@ -120,7 +120,7 @@
 
     # -- discovery ---------------------------------------------------------------------------------------
 
-    def _listed(self, now: float, event: EndpointList) -> None:
+    def _listed(self, now: float, event: EndpointList, acts: list[Action]) -> None:
         if event.kind is ListKind.FAILED:
             # Guards against failing or overloaded discovery: asks again after growing, jittered pauses.
             pause = min(RETRY_MS * 4 * 2**self.ask_fails, self.s.safety.ask_within_ms / 4)
@@ -132,6 +132,7 @@
         named = {entry.id for entry in event.entries} if event.kind is ListKind.CHANGES else set(self.doors)
         for ident in sorted(named & set(self.doors)):
             if ident not in ready or self._lane_key(ready[ident]) != self._lane_key(self.doors[ident].entry):
+                self._recall(acts, {ident})
                 self._drop(now, self.doors.pop(ident))
         for entry in ready.values():
             self._add(now, entry)
@@ -277,6 +278,11 @@
         stay = max(told - now, queued) * self.rng.uniform(1.0, 1.5)
         return max(0.0, min(stay, self.s.longest_advice_ms, due - now - MARGIN_MS))
 
+    def _recall(self, acts: list[Action], endpoints: set[int]) -> None:
+        """What was sent to these in the gate's eyes, and may wait for its connection still: the gate is shut."""
+        acts += [Recall(ident) for ident, held in self.board.held.items()
+                 if held.out is not None and held.out.door.entry.id in endpoints]
+
     def _withdraw(self, ident: int) -> None:
         if held := self.board.held.get(ident):
             held.withdrawn = True  # one that is out waits for its outcome
@@ -332,7 +338,7 @@
         pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
         held.ready = now + pause
         if event.wait_ms > 0:  # binds whichever message of a call was told it, the others' answers or not
-            self._told(now, door.lane, held.msg.destination, held.ready + event.wait_ms)
+            self._told(now, door.lane, held.msg.destination, held.ready + event.wait_ms, acts)
         # A kept connection that its peer, or something between, had closed says nothing of a destination.
         sudden = event.outcome is Outcome.RESET and event.latency_ms < SUDDEN * door.lane.mean
         stale = event.reused and (sudden or event.outcome is Outcome.CONNECT_FAILED)
@@ -379,9 +385,10 @@
         lane.knowers = self._knowers(now, lane)
         lane.sick, lane.cold_since, lane.credit, lane.bad_since = False, now, 0.0, None
 
-    def _told(self, now: float, lane: Lane, dest: int, until: float) -> None:
+    def _told(self, now: float, lane: Lane, dest: int, until: float, acts: list[Action]) -> None:
         """A wait was told, to many relays at once: the growing, jittered pause comes after it."""
         lane.wait_until = max(lane.wait_until, until)
+        self._recall(acts, set(lane.doors))
         for other in self.board.queues.get(dest, {}).values():
             if self._last(other) == NEVER:  # the wait outlasts it
                 heapq.heappush(self.ends, (now, other.msg.id))
@@ -429,7 +436,7 @@
             if change < 1 or lane.credit < 1:
                 lane.pace = min(limit, max(lane.pace * change, part / 3))
 
-    def _learn(self, now: float, event: Learned) -> None:
+    def _learn(self, now: float, event: Learned, acts: list[Action]) -> None:
         """Guards partners from relays that start anew: cautions where no own evidence is, as that wins."""
         for kind, part in event.few:
             self.blocked.setdefault(kind, part)
@@ -438,7 +445,7 @@
             if lane is None:
                 continue
             if fact.wait_ms > 0:
-                self._told(now, lane, fact.destination, now + fact.wait_ms)
+                self._told(now, lane, fact.destination, now + fact.wait_ms, acts)
             if fact.answers and not lane.answers:
                 lane.mean, lane.dev, lane.answers = fact.mean_ms, fact.dev_ms, fact.answers
             if 0 < fact.pace < lane.pace and lane.last_ok == NEVER and not lane.hold:  # a limit others met
--- a/linnetstile/decisions/evidence.py
+++ b/linnetstile/decisions/evidence.py
@@ -16,7 +16,7 @@
 class Sight(Enum):
     """How far an attempt got, as the network shows it."""
 
-    NOT_SENT = "not_sent"  # not a byte of the request left this process
+    NOT_SENT = "not_sent"  # the last byte of the request never left this process, for a reason of our own
     NO_CONNECTION = "no_connection"
     CUT = "cut"  # ended before the last byte of the request had left this process
     LOST = "lost"  # the connection ended after a byte had left, before the answer was complete
@@ -62,7 +62,7 @@
 
 
 SIGHTS = {
-    Sight.NOT_SENT: Proof(Outcome.NOT_SENT, "not a byte left"),
+    Sight.NOT_SENT: Proof(Outcome.NOT_SENT, "its last byte never left, by our own will or want"),
     Sight.NO_CONNECTION: Proof(Outcome.CONNECT_FAILED, "no connection was made"),
     # RFC 9112, 8: an incomplete request can't be acted on. As a connection that was not made: nothing arrived.
     Sight.CUT: Proof(Outcome.CONNECT_FAILED, "ended before the request was whole: nothing can have run"),
--- a/linnetstile/decisions/interface.py
+++ b/linnetstile/decisions/interface.py
@@ -319,6 +319,14 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """The reason to send this one is gone: its attempt ends as NOT_SENT if its last byte has not left, or goes on. A
+    connection can take a second to be made; where a call leaves at once, there is nothing to recall."""
+
+    id: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     delay_ms: float
@@ -347,4 +355,4 @@
     text: str
 
 
-Action = Union[Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, WatchList, Log]
+Action = Union[Send, Refuse, Fail, Cancel, Recall, SetTimer, Probe, CloseIdle, WatchList, Log]
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -78,17 +78,22 @@
         """Ends it now. A connection on which a request is out can't be kept."""
         if self.connecting:
             self.connecting.cancel()
-            sight = Sight.NO_CONNECTION
+            sight = sight if sight is Sight.NOT_SENT else Sight.NO_CONNECTION
         conn, self.conn = self.conn, None
         claimed = 0
         if conn:
             conn.call = None
             claimed = conn.parser.claimed
             if conn.partial:  # what is left of the request goes with the connection: it never was whole
-                sight = Sight.CUT
+                sight = sight if sight is Sight.NOT_SENT else Sight.CUT
             conn.transport.abort()
         self.finish(Answer(sight, claimed=claimed))
 
+    def recall(self) -> None:
+        """Ends it as not sent if the peer can't have had all of it; else nothing changes."""
+        if self.done is not None and (self.connecting or self.conn is not None and self.conn.partial):
+            self.abort(Sight.NOT_SENT)
+
 
 class ClientConnection(Wire):
     def __init__(self, pool: Pool, address: Address) -> None:
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -175,6 +175,10 @@
                 attempt = self.carried[ident].attempt if ident in self.carried else None
                 if attempt and attempt.number == number and attempt.call:
                     attempt.call.abort(Sight.CANCELLED)
+            case api.Recall(ident):
+                attempt = self.carried[ident].attempt if ident in self.carried else None
+                if attempt and attempt.call:
+                    attempt.call.recall()
             case api.CloseIdle(endpoint):
                 if endpoint in self.directory.places:
                     self.calls.close_idle(self.directory.places[endpoint])
--- a/linnetstile/service/relay.py
+++ b/linnetstile/service/relay.py
@@ -293,6 +293,10 @@
                 attempt = self.carried[ident].attempt if ident in self.carried else None
                 if attempt and attempt.number == number and attempt.call:
                     attempt.call.abort(Sight.CANCELLED)
+            case api.Recall(ident):
+                attempt = self.carried[ident].attempt if ident in self.carried else None
+                if attempt and attempt.call:
+                    attempt.call.recall()
             case api.CloseIdle(endpoint):
                 if endpoint in self.register.places:
                     self.pool.close_idle(self.register.places[endpoint].address)
--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -47,7 +47,8 @@
         out: list[bytes] = []
         for instance, mine in events.items():
             if instance in self.relays:
-                out += [encode(instance, now, action) for action in self.relays[instance].handle(now, mine)]
+                out += [encode(instance, now, action) for action in self.relays[instance].handle(now, mine)
+                        if not isinstance(action, api.Recall)]  # a call leaves at once here
         return struct.pack("<II", sum(map(len, out)), len(out)) + b"".join(out)
 
     @staticmethod
--- a/tests/decisions/test_platform.py
+++ b/tests/decisions/test_platform.py
@@ -11,6 +11,7 @@
 from linnetstile.decisions.evidence import Seen, Sight, endpoint_proof
 from linnetstile.decisions.interface import Outcome
 from linnetstile.decisions.leaving import END_MS, LAST_MS, leave
+from linnetstile.decisions.state import NEVER
 
 from ..conftest import CLASSES, KEYED, SAFE, UNSAFE, Driver
 
@@ -143,3 +144,22 @@
     for again in tries:
         window = CLASSES[KEYED].key_window_ms if class_ == KEYED else 1e4
         assert began < again.begin_by_ms <= began + window
+
+
+def recalled(driver: Driver, acts: list[api.Action]) -> list[int]:
+    return [act.id for act in acts if isinstance(act, api.Recall)]
+
+
+def test_told_wait_and_leaving_endpoint_recall_what_was_decided_before() -> None:
+    """A connection may take a second to be made: what the gate let through then goes out when it is shut."""
+    driver = Driver()
+    driver.listed((1, 1), (2, 1), (3, 2), rate=1000.0)
+    driver.warm_up()
+    near, far = [driver.message(SAFE) for _ in range(3)], driver.message(SAFE, 2)
+    assert recalled(driver, driver.answer(near[0], Outcome.FULL)) == []
+    assert recalled(driver, driver.answer(near[1], Outcome.FULL, wait=900.0)) == [near[2]]
+    gone = driver.out[near[2]].endpoint
+    changes = tuple(api.Endpoint(ident, 1 if ident < 3 else 2, api.Listing.DRAINING) for ident in (gone, 3))
+    assert recalled(driver, driver.feed(api.EndpointList(api.ListKind.CHANGES, changes))) == [near[2], far]
+    assert recalled(driver, driver.answer(far, Outcome.NOT_SENT)) == []
+    assert driver.relay.lanes[2][-1].failed_at == NEVER  # a recalled call says nothing of its destination
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -177,3 +177,24 @@
         assert peer.whole == 0
 
     play(story)
+
+
+@pytest.mark.parametrize(("stage", "sight"), [("connecting", Sight.NOT_SENT), ("held", Sight.NOT_SENT),
+                                              ("blocked", Sight.NOT_SENT), ("out", Sight.ANSWERED)])
+def test_recalled_call_is_not_sent_as_long_as_its_last_byte_has_not_left(stage: str, sight: Sight) -> None:
+    big = REQUEST if stage != "blocked" else http1.request("POST", "/", [("Host", "x")], bytes(16_000_000) + b"body")
+
+    async def story(peer: Peer, pool: client.Pool, where: client.Address) -> None:
+        peer.reads = asyncio.Event()
+        answered: asyncio.Future[client.Answer] = pool.loop.create_future()
+        one = pool.call(where, "POST", big, answered.set_result, hold_s=0.3 if stage == "held" else 0.0)
+        if stage != "connecting":
+            await asyncio.sleep(0.1)
+        one.recall()
+        peer.reads.set()
+        assert (await answered).sight is sight
+        await asyncio.sleep(0.3)
+        assert peer.whole == (stage == "out")
+        one.recall()  # one that has ended stays as it is
+
+    play(story)
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -391,3 +391,27 @@
         assert ids(world) == ["k"] and world.notices == [{"ref": "k", "result": "dead"}]
 
     play(tmp_path, story)
+
+
+def test_call_whose_connection_comes_up_after_a_wait_was_told_waits_too(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        world.script[1] = [b"HTTP/1.1 429 X\r\nRetry-After: 0.9\r\nContent-Length: 0\r\n\r\n"]
+        node = await world.node()
+        opens = node.calls.pool._open
+        pauses = [0.0, 0.3]
+
+        async def late(*where: Any) -> client.ClientConnection:
+            await asyncio.sleep(pauses.pop(0) if pauses else 0.0)
+            return await opens(*where)
+
+        monkeypatch.setattr(node.calls.pool, "_open", late)
+        told = node.loop.time()
+        assert {*await asyncio.gather(ask(node, hand_in("a")), ask(node, hand_in("b")))} == {202}
+        await until(lambda: node.counts.get("attempts") == 2 and len(world.calls) == 1)
+        await until(lambda: len(world.calls) > 1)
+        assert node.loop.time() - told >= 0.9
+        await until(lambda: not node.carried)
+        assert sorted(ids(world)) == ["a", "a", "b"] or sorted(ids(world)) == ["a", "b", "b"]
+
+    play(tmp_path, story)
