--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -69,8 +69,8 @@
         self.servers.append(server)
         return int(server.sockets[0].getsockname()[1])
 
-    async def endpoint(self, dest: int, state: str = "SERVING") -> None:
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def endpoint(self, dest: int, state: str = "SERVING", serve: Serve | None = None) -> None:
+        async def scripted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.connections += 1
             while True:
                 _, fields, body = await read(reader)
@@ -79,7 +79,7 @@
                 if answer is not None:
                     writer.write(answer)
 
-        port = await self.listen(serve)
+        port = await self.listen(serve or scripted)
         self.entries.append({"id": f"s-{len(self.entries)}", "addr": f"127.0.0.1:{port}", "zone": "z", "kind": "k",
                              "cell": dest, "state": state, "weight": 50.0, "started_ms": 0})
 
