--- a/tests/node/test_once.py
+++ b/tests/node/test_once.py
@@ -43,7 +43,8 @@
     *(Fault("part", how) for how in ("reset", "close", "silence")),
     *(Fault("whole", how) for how in ("reset", "close", "silence", "late")),
     *(Fault("said", how, said) for how in ("reset", "close", "silence")
-      for said in (b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Busy\r\n", REFUSED[:-2], b"\x16\x03 noise\r\n\r\n")),
+      for said in (b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Busy\r\n", REFUSED[:-2],
+                   b"\x16\x03 noise\r\n\r\n")),
     Fault("said", "close", REFUSED), Fault("said", "close", b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"),
 ]
 
@@ -70,7 +71,7 @@
             await self.end(self.faults.pop(0), reader, writer)
             return
         clock = asyncio.get_running_loop().time
-        while first := await reader.read(1):
+        while await reader.read(1):
             fault = self.faults.pop(0) if self.faults else Fault("said", "", OK)
             if fault.stage == "part":
                 await reader.read(60)
@@ -109,14 +110,16 @@
     for body in {call.body for call in calls}:
         mine = [call for call in calls if call.body == body]
         ran = next((call for call in mine if call.ran), None)
-        for call in mine[mine.index(ran) + 1 :] if ran else []:
-            if class_ == "pay" or class_ == "order" and call.at > ran.at + WINDOW_S:
-                found.append(f"{call.ident} was sent again {call.at - ran.at:.3f} s after it may have run")
-        if ran and class_ != "state" and (ran.ident, "bounced") in notices:
-            found.append(f"{ran.ident} may have run and was told as harmless to hand in again")
         if one_life:
             found += [f"two calls of {one.ident} at once" for one, other in zip(mine, mine[1:], strict=False)
                       if one.over is None or other.at < one.over]
+        if ran is None:
+            continue
+        for call in mine[mine.index(ran) + 1 :]:
+            if class_ == "pay" or class_ == "order" and call.at > ran.at + WINDOW_S:
+                found.append(f"{call.ident} was sent again {call.at - ran.at:.3f} s after it may have run")
+        if class_ != "state" and (ran.ident, "bounced") in notices:
+            found.append(f"{ran.ident} may have run and was told as harmless to hand in again")
     return found
 
 
