Messages of a class in order are taken under the key in their path, and never overtake an end

At fault: node/relay.py, _turn: actions were begun in order, but a notice ends when the platform has it.

Also: records that a failed write loses (an end, a notice) are only in memory, so the file is written anew at once; before, a refused message could go on after a kill. Tests: order by path, order and notice over a kill, 1,024 endpoints over the watch; each fails without its mend.

--- a/linnetstile/node/front.py
+++ b/linnetstile/node/front.py
@@ -13,6 +13,7 @@
 
 IDENT = re.compile(r"[\x21-\x7e]{1,128}\Z")
 LEFT = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])\Z")
+ORDER = re.compile(r"/api(?:/([\x21-\x2e\x30-\x7e]{1,128}))?\Z")  # the path, with the key of a class in order
 DEST = re.compile(r"(?:^|[;,]\s*)dest=(\d{1,9})\s*(?:[;,]|\Z)")
 
 
@@ -33,6 +34,7 @@
     tenant: int
     destination: int
     key: str
+    order: str  # what messages of a class in order share; empty = nothing
     left_ms: float  # from the first byte of the request on
     again: bool
     from_dead: bool
@@ -76,11 +78,15 @@
         if not dest:
             raise BadRequest(400, "Envelope: expected dest=NUMBER")
         keys = headers.all("Idempotency-Key")
-        keyed = cls.effect is api.Effect.KEYED or cls.in_order
+        keyed = cls.effect is api.Effect.KEYED
         if len(keys) > 1 or keys and not IDENT.match(keys[0]) or keyed and not keys:
             raise BadRequest(400, "Idempotency-Key: expected once in this class, at most 128 visible characters")
+        path = ORDER.match(head.target.partition("?")[0])
+        order = path[1] if path and path[1] else ""
+        if order and not cls.in_order:
+            raise BadRequest(404, "messages of this class are handed in at /api")
         repeat = headers.get("X-Repeat")
-        return HandIn(ident, class_, tenant, int(dest[1]), keys[0] if keys else "", left_ms,
+        return HandIn(ident, class_, tenant, int(dest[1]), keys[0] if keys else "", order, left_ms,
                       repeat == "1", repeat.lower() == "again")
 
 
@@ -116,7 +122,7 @@
             if head.method not in ("GET", "HEAD"):
                 self._refuse(exchange, 405, "GET is expected here")
             return
-        if path != "/api":
+        if not ORDER.match(path):
             self._refuse(exchange, 404, "messages are handed in at /api")
         elif head.method != "POST":
             self._refuse(exchange, 405, "messages are handed in by POST")
--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import struct
@@ -36,11 +37,12 @@
     out: tuple[float, int, str] | None = None  # an attempt without outcome: when, zone and name of the endpoint
     risk: tuple[float, int, str] | None = None  # the first attempt that may have run
     notice: dict[str, Any] | None = None  # owed to the platform
+    order: int = 0  # of a notice: what waits for it; 0 = nothing does
 
     def records(self) -> Iterable[bytes]:
         """The same again, in few records."""
         if self.notice is not None:
-            yield owed(self.id, self.notice)
+            yield owed(self.id, self.notice, self.order)
             return
         yield taken(self.id, self.fields, self.body)
         for _ in range(self.tries - (self.risk is not None) - (self.out is not None)):
@@ -68,8 +70,8 @@
     return _record(OUTCOME, PLAIN.pack(ident, risky))
 
 
-def owed(ident: int, notice: dict[str, Any]) -> bytes:
-    return _record(OWED, json.dumps([ident, notice], separators=(",", ":")).encode())
+def owed(ident: int, notice: dict[str, Any], order: int = 0) -> bytes:
+    return _record(OWED, json.dumps([ident, notice, order], separators=(",", ":")).encode())
 
 
 def ended(ident: int) -> bytes:
@@ -117,8 +119,8 @@
         ident, fields = json.loads(content[4 : 4 + size])
         kept[ident] = Kept(ident, fields, content[4 + size :])
     elif kind == OWED:
-        ident, notice = json.loads(content)
-        kept[ident] = Kept(ident, {}, b"", notice=notice)
+        ident, notice, *order = json.loads(content)
+        kept[ident] = Kept(ident, {}, b"", notice=notice, order=order[0] if order else 0)
     elif kind == ATTEMPT:
         ident, when, zone = ATTEMPTED.unpack_from(content)
         if ident in kept:
@@ -164,7 +166,8 @@
         self._added.append(record)
 
     def flush(self) -> bool:
-        """One write for all that was added; False if the disk would not take it, and then nothing of it counts."""
+        """One write for all that was added; False if the disk would not take it, and then nothing of it counts. What
+        had happened all the same, as ends and notices do, is only in memory then: the file is to be written anew."""
         if not self._added:
             return True
         data, self._added = b"".join(self._added), []
@@ -177,10 +180,9 @@
         except OSError as error:
             self.error = error.strerror or repr(error)
         self.failed += 1
-        try:  # half a record is no promise: reading would only have to search past it
-            os.ftruncate(self._file, self.size)
-        except OSError:
-            self.size = self.most + 1  # is written anew
+        with contextlib.suppress(OSError):  # half a record is no promise: reading would only have to search past it
+            os.ftruncate(self._file, min(self.size, os.fstat(self._file).st_size))
+        self.size = self.most + 1
         return False
 
     @staticmethod
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -31,11 +31,12 @@
     return time.time() * 1000
 
 
-def key_number(key: str, cls: api.MessageClass) -> int:
-    """A key as the module knows it, which asks for it in classes in order only: 0 is none."""
-    if not cls.in_order or not key:
+def order_number(order: str, key: str, cls: api.MessageClass) -> int:
+    """What a message of a class in order shares with others, as the module knows it: 0 is nothing. Where the path names
+    no key, the idempotency key stands for it."""
+    if not cls.in_order or not (order or key):
         return 0
-    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=7).digest(), "big") + 1
+    return int.from_bytes(hashlib.blake2b((order or key).encode(), digest_size=7).digest(), "big") + 1
 
 
 @dataclass(slots=True, eq=False)
@@ -53,6 +54,7 @@
     kept: Kept
     exchange: server.Exchange | None = None
     attempt: Attempt | None = None
+    order: int = 0  # what it shares with others of a class in order; 0 = nothing
 
     @property
     def ident(self) -> str:
@@ -81,6 +83,7 @@
         self.front = Front(module, self.bounds, self._take, lambda: self.ready)
         self.carried: dict[int, Carried] = {}
         self.owed: dict[int, Kept] = {}  # notices
+        self.behind: dict[int, api.Send] = {}  # by order: goes once the platform has the end of the one before
         self.idents: OrderedDict[str, bool] = OrderedDict()  # taken before; True while it is open
         self.turns = Turns(self.relay, self._turn)
         self._tell = self.turns.tell
@@ -131,9 +134,10 @@
                 continue
             risk = each.risk or each.out  # what was out when the process ended may have run
             each.risk, each.out = risk, None
+            carried.order = order_number(fields.get("order", ""), carried.key, self.s.module.classes[class_])
             message = api.Message(
                 ident, fields["dest"], class_, max(0.0, fields["due"] - unix), names.tenants.get(fields["tenant"], 0),
-                key_number(carried.key, self.s.module.classes[class_]))
+                carried.order)
             place = self.directory.places.get(self.directory.numbers.get(risk[2], 0)) if risk else None
             where = api.Endpoint(place.number if place else 0, fields["dest"], api.Listing.READY,
                                  zone=risk[1]) if risk else None
@@ -176,7 +180,10 @@
                 if attempt and attempt.number == number and attempt.call:
                     attempt.call.abort(Sight.CANCELLED)
             case api.Recall(ident):
-                attempt = self.carried[ident].attempt if ident in self.carried else None
+                carried = self.carried.get(ident)
+                attempt = carried.attempt if carried else None
+                if carried and carried.order in self.behind and self.behind[carried.order].id == ident:
+                    self._not_sent(self.behind.pop(carried.order), carried.kept.tries)
                 if attempt and attempt.call:
                     attempt.call.recall()
             case api.CloseIdle(endpoint):
@@ -201,9 +208,10 @@
         self._final(ident, notice)
 
     def _final(self, ident: int, notice: dict[str, object]) -> None:
+        order = self.carried[ident].order
         self._forget(ident)
-        self.owed[ident] = Kept(ident, {}, b"", notice=notice)
-        self.journal.add(journal.owed(ident, notice))
+        self.owed[ident] = Kept(ident, {}, b"", notice=notice, order=order)
+        self.journal.add(journal.owed(ident, notice, order))
         self.finals.post(ident, notice)
 
     def _forget(self, ident: int) -> None:
@@ -212,10 +220,11 @@
         self.journal.live -= self.journal.weight(carried.kept)
 
     def _noticed(self, numbers: list[int]) -> None:
+        orders = {self.owed.pop(number).order for number in numbers}
         for number in numbers:
-            del self.owed[number]
             self.journal.add(journal.ended(number))
         self.journal.flush()
+        self._send_all([self.behind.pop(order) for order in orders if order in self.behind])
 
     def _listed(self, event: api.EndpointList) -> None:
         self._tell(event)
@@ -251,7 +260,8 @@
         tenant = module.tenants[hand.tenant].name if module.tenants else ""
         cls = module.classes[hand.class_]
         kept = Kept(self.last, {"ident": hand.ident, "class": cls.name, "tenant": tenant, "dest": hand.destination,
-                                "key": hand.key, "taken": round(unix, 1), "due": round(unix + left, 1)}, exchange.body)
+                                "key": hand.key, "order": hand.order, "taken": round(unix, 1),
+                                "due": round(unix + left, 1)}, exchange.body)
         carried = Carried(kept, exchange)
         exchange.body = b""
         self.carried[self.last] = carried
@@ -262,8 +272,9 @@
             if open_:
                 self.idents[ident] = True
         self.fresh.append(carried)
-        self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant,
-                               key_number(hand.key, cls), again=hand.again, from_dead_relay=hand.from_dead))
+        carried.order = order_number(hand.order, hand.key, cls)
+        self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant, carried.order,
+                               again=hand.again, from_dead_relay=hand.from_dead))
 
     def _promise(self, fresh: list[Carried]) -> None:
         """Taken on: written down first, then told. What its client can't hear of is withdrawn."""
@@ -295,6 +306,13 @@
             if carried is None or place is None:  # withdrawn in this turn, or the endpoint has just gone
                 self._not_sent(send, carried.kept.tries if carried else 0)
                 continue
+            if carried.order and any(notice.order == carried.order for notice in self.owed.values()):
+                # The end of the one before is on its way: this call must not overtake it.
+                self.behind[carried.order] = send
+                continue
+            if self.now >= min(send.give_up_at_ms, send.begin_by_ms):  # it waited for such an end too long
+                self._not_sent(send, carried.kept.tries)
+                continue
             assert carried.attempt is None, "two attempts at once"
             kept = carried.kept
             carried.attempt = Attempt(kept.tries, place, self.now)
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import errno
 import json
+import os
 import shutil
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -14,6 +16,7 @@
 import pytest
 
 from linnetstile.net import client, server
+from linnetstile.node import journal
 from linnetstile.node.front import HandIn
 from linnetstile.node.journal import Journal
 from linnetstile.node.relay import Node
@@ -415,3 +418,95 @@
         assert sorted(ids(world)) == ["a", "a", "b"] or sorted(ids(world)) == ["a", "b", "b"]
 
     play(tmp_path, story)
+
+
+def test_lists_of_1024_endpoints_are_taken_whole_and_half_of_them_leave(tmp_path: Path) -> None:
+    async def story(world: World) -> None:
+        world.raw = {**RAW, "balancers": 1024}
+        others = [{**world.entries[0], "id": f"o-{number}", "cell": 2 + number,
+                   "addr": f"127.9.{number >> 8}.1:{3000 + number}"}
+                  for number in range(1023)]
+        world.entries += others
+        node = await world.node()
+        assert len(node.directory.places) == len(node.relay.doors) == 1024
+        assert await ask(node, hand_in("a")) == 202
+        await until(lambda: ids(world) == ["a"])
+        world.tell(world.watches[-1], [{**entry, "state": "DELETED"} for entry in others[:512]])
+        await until(lambda: len(node.relay.doors) == 512)
+        world.tell(world.watches[-1], world.entries[:1], True)
+        await until(lambda: len(node.relay.doors) == len(node.directory.places) == len(node.directory.numbers) == 1)
+        assert await ask(node, hand_in("b")) == 202
+        await until(lambda: ids(world) == ["a", "b"])
+
+    play(tmp_path, story)
+
+
+def test_end_that_the_disk_would_not_take_is_not_forgotten_by_the_next_process(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A message that was told as refused goes on nowhere: its client has come again."""
+    write = os.write
+    failed: list[bytes] = []
+
+    def full(file: int, data: bytes) -> int:
+        if b'"bounced"' in data and not failed:
+            failed.append(data)
+            raise OSError(errno.ENOSPC, "no room")
+        return write(file, data)
+
+    async def story(world: World) -> None:
+        world.notice_status = [500]  # the notice stays owed
+        world.script[1] = [b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"] * 9
+        node = await world.node()
+        monkeypatch.setattr(os, "write", full)
+        assert await ask(node, hand_in("m", "pay", left="700m")) == 202
+        await until(lambda: node.owed)
+        await asyncio.sleep(0.05)
+        (kept,) = journal.replay((world.state / "journal").read_bytes())[0].values()
+        assert failed and kept.notice == {"ref": "m", "result": "bounced"}
+
+    play(tmp_path, story)
+
+
+def test_messages_of_a_class_in_order_go_one_at_a_time_by_the_key_in_their_path(tmp_path: Path) -> None:
+    """Each hand-in of such a class was answered 404, so that none of it was served on other deployments."""
+    async def story(world: World) -> None:
+        node = await world.node()
+        world.script[1] = [None]
+        assert await ask(node, hand_in("a1", "charge", path="/api/0009f68e")) == 202
+        await until(lambda: ids(world) == ["a1"])
+        for ident, path in (("a2", "/api/0009f68e"), ("b1", "/api/000df910"), ("c1", "/api")):
+            assert await ask(node, hand_in(ident, "charge", path=path)) == 202
+        await until(lambda: len(world.calls) == 3)
+        await asyncio.sleep(0.1)
+        assert sorted(ids(world)) == ["a1", "b1", "c1"]  # a2 waits for its turn
+        for path in ("/api/x/y", "/api/", "/apix", "/api/" + "k" * 129):
+            assert await ask(node, hand_in("d1", "charge", path=path)) == 404
+        assert await ask(node, hand_in("d1", "pay", path="/api/0009f68e")) == 404
+
+    play(tmp_path, story)
+
+
+def test_next_message_in_order_goes_once_the_platform_has_the_end_of_the_one_before(tmp_path: Path) -> None:
+    """Both came out of one turn of the module, and the call overtook the notice."""
+    async def story(world: World) -> None:
+        where = await world.discovery()
+        world.notice_status = [500]
+        world.script[1] = [b"HTTP/1.1 429 X\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n"]
+        node = await world.node(where)
+        for ident, left in (("a1", "300m"), ("a2", "5000m")):
+            assert await ask(node, hand_in(ident, "charge", path="/api/a", left=left)) == 202
+        await until(lambda: node.behind and not node.finals.posting)
+        await asyncio.sleep(0.1)
+        assert ids(world) == ["a1"] and not world.notices
+        world.state = tmp_path / "as killed"
+        shutil.copytree(tmp_path / "journal", world.state)
+        node.close()
+        world.nodes.remove(node)
+        again = await world.node(where)  # the notice is owed still, and what waits for it waits on
+        await until(lambda: again.behind)
+        assert ids(world) == ["a1"]
+        world.notice_status = [204]
+        await until(partial(idle, again))
+        assert ids(world) == ["a1", "a2"] and world.notices == [{"ref": "a1", "result": "bounced"}]
+
+    play(tmp_path, story)
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -16,6 +16,7 @@
     {"name": "order", "effect": "by_key", "aim-ms": 1000.0, "deadline-ms": 6000.0, "window-ms": 4000.0},
     {"name": "pay", "effect": "once", "aim-ms": 1000.0, "deadline-ms": 6000.0},
     {"name": "state", "effect": "repeatable", "aim-ms": 1000.0, "deadline-ms": 6000.0},
+    {"name": "charge", "effect": "once", "aim-ms": 1000.0, "deadline-ms": 6000.0, "by-arrival": True},
 ]
 RAW: dict[str, Any] = {
     "classes": CLASSES, "kinds": ["k"], "zones": ["z"], "orgs": [{"name": "acme", "quota-per-s": 100.0}],
@@ -133,14 +134,14 @@
 
 
 def hand_in(ident: str, class_: str = "state", dest: int = 1, body: bytes = b"hello", left: str = "5000m",
-            **more: str) -> bytes:
+            path: str = "/api", **more: str) -> bytes:
     fields = {"Host": "api.internal", "X-Correlation-Id": ident, "X-Service-Class": class_, "X-Account": "acme",
               "X-Time-Left": left, "Envelope": f"dest={dest}", "Content-Length": str(len(body))}
     if class_ == "order":
         fields["Idempotency-Key"] = f"key-{ident}"
     fields |= {name.replace("_", "-"): value for name, value in more.items()}
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value)
-    return f"POST /api HTTP/1.1\r\n{head}\r\n".encode() + body
+    return f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + body
 
 
 async def ask(node: Node, data: bytes, seconds: float = 3.0) -> int:
