One judgement of an unsent end, of a hand-in's path and of an order, where each stood twice

Read once more; behaviour stays as it is. - net/client.py: what an end proves before the last byte has left is asked in one place (Call._unsent); abort and recall differ in what they report, not in a special case within abort. - node/front.py: path and method are checked where the rest of the head is (Reader.read), the path is matched once. - node/relay.py: the order of a message is a field of what is kept, read like its id and key, not a second copy that a restart works out again; a recall has its own few lines. - decisions/control.py: a list that nothing leaves ends early.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -139,12 +139,14 @@
 
     def _drop(self, now: float, gone: list[Door]) -> None:
         """Nothing new goes to endpoints that drain or are gone; a lane goes with its last trace."""
+        if not gone:
+            return
         for door in gone:
             del self.doors[door.entry.id], door.lane.doors[door.entry.id]
             if not door.lane.doors and door.lane.bad_since is None:
                 door.lane.bad_since = now
         spared = {door.entry.destination for door in gone} | self.board.queues.keys()
-        for dest in [d for d in self.lanes if gone and d not in spared]:
+        for dest in [d for d in self.lanes if d not in spared]:
             kept = {k: lane for k, lane in self.lanes[dest].items() if lane.doors or lane.out
                     or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS)}
             self.lanes[dest] = kept
--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -74,26 +74,34 @@
         """Nobody waits any more; the connection may still end in order and be kept."""
         self.done = None
 
+    def _unsent(self) -> Sight | None:
+        """What an end proves as long as the last byte has not left: the rest of the request goes with the connection,
+        and it never was whole. None once it has left."""
+        if self.connecting:
+            return Sight.NO_CONNECTION
+        return Sight.CUT if self.conn is not None and self.conn.partial else None
+
     def abort(self, sight: Sight) -> None:
-        """Ends it now. A connection on which a request is out can't be kept."""
+        """Ends it now."""
+        self._end(self._unsent() or sight)
+
+    def recall(self) -> None:
+        """Ends it as not sent if the peer can't have had all of it; else nothing changes."""
+        if self.done is not None and self._unsent():
+            self._end(Sight.NOT_SENT)
+
+    def _end(self, sight: Sight) -> None:
+        """A connection on which a request is out can't be kept."""
         if self.connecting:
             self.connecting.cancel()
-            sight = sight if sight is Sight.NOT_SENT else Sight.NO_CONNECTION
         conn, self.conn = self.conn, None
         claimed = 0
         if conn:
             conn.call = None
             claimed = conn.parser.claimed
-            if conn.partial:  # what is left of the request goes with the connection: it never was whole
-                sight = sight if sight is Sight.NOT_SENT else Sight.CUT
             conn.transport.abort()
         self.finish(Answer(sight, claimed=claimed))
 
-    def recall(self) -> None:
-        """Ends it as not sent if the peer can't have had all of it; else nothing changes."""
-        if self.done is not None and (self.connecting or self.conn is not None and self.conn.partial):
-            self.abort(Sight.NOT_SENT)
-
 
 class ClientConnection(Wire):
     def __init__(self, pool: Pool, address: Address) -> None:
--- a/linnetstile/node/front.py
+++ b/linnetstile/node/front.py
@@ -50,6 +50,11 @@
 
     def read(self, head: http1.Request) -> HandIn:
         """Raises BadRequest."""
+        path = ORDER.match(head.target.partition("?")[0])
+        if not path:
+            raise BadRequest(404, "messages are handed in at /api")
+        if head.method != "POST":
+            raise BadRequest(405, "messages are handed in by POST")
         headers = head.headers
 
         def one(name: str) -> str:
@@ -81,8 +86,7 @@
         keyed = cls.effect is api.Effect.KEYED
         if len(keys) > 1 or keys and not IDENT.match(keys[0]) or keyed and not keys:
             raise BadRequest(400, "Idempotency-Key: expected once in this class, at most 128 visible characters")
-        path = ORDER.match(head.target.partition("?")[0])
-        order = path[1] if path and path[1] else ""
+        order = path[1] or ""
         if order and not cls.in_order:
             raise BadRequest(404, "messages of this class are handed in at /api")
         repeat = headers.get("X-Repeat")
@@ -122,15 +126,10 @@
             if head.method not in ("GET", "HEAD"):
                 self._refuse(exchange, 405, "GET is expected here")
             return
-        if not ORDER.match(path):
-            self._refuse(exchange, 404, "messages are handed in at /api")
-        elif head.method != "POST":
-            self._refuse(exchange, 405, "messages are handed in by POST")
-        else:
-            try:
-                exchange.who = self.reader.read(head)
-            except BadRequest as error:
-                self._refuse(exchange, error.status, error.text)
+        try:
+            exchange.who = self.reader.read(head)
+        except BadRequest as error:
+            self._refuse(exchange, error.status, error.text)
 
     def _refuse(self, exchange: server.Exchange, status: int, text: str) -> None:
         self.bad += 1
--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -37,7 +37,7 @@
     out: tuple[float, int, str] | None = None  # an attempt without outcome: when, zone and name of the endpoint
     risk: tuple[float, int, str] | None = None  # the first attempt that may have run
     notice: dict[str, Any] | None = None  # owed to the platform
-    order: int = 0  # of a notice: what waits for it; 0 = nothing does
+    order: int = 0  # of a notice, as its message's field was: what waits for it; 0 = nothing does
 
     def records(self) -> Iterable[bytes]:
         """The same again, in few records."""
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -54,7 +54,6 @@
     kept: Kept
     exchange: server.Exchange | None = None
     attempt: Attempt | None = None
-    order: int = 0  # what it shares with others of a class in order; 0 = nothing
 
     @property
     def ident(self) -> str:
@@ -64,6 +63,11 @@
     def key(self) -> str:
         return str(self.kept.fields["key"])
 
+    @property
+    def order(self) -> int:
+        """What it shares with others of a class in order; 0 = nothing."""
+        return int(self.kept.fields.get("order", 0))
+
 
 class Node:
     """Start with `start`, end with `leave`; `over` is set when the process may end."""
@@ -134,7 +138,6 @@
                 continue
             risk = each.risk or each.out  # what was out when the process ended may have run
             each.risk, each.out = risk, None
-            carried.order = order_number(fields.get("order", ""), carried.key, self.s.module.classes[class_])
             message = api.Message(
                 ident, fields["dest"], class_, max(0.0, fields["due"] - unix), names.tenants.get(fields["tenant"], 0),
                 carried.order)
@@ -180,18 +183,22 @@
                 if attempt and attempt.number == number and attempt.call:
                     attempt.call.abort(Sight.CANCELLED)
             case api.Recall(ident):
-                carried = self.carried.get(ident)
-                attempt = carried.attempt if carried else None
-                if carried and carried.order in self.behind and self.behind[carried.order].id == ident:
-                    self._not_sent(self.behind.pop(carried.order), carried.kept.tries)
-                if attempt and attempt.call:
-                    attempt.call.recall()
+                if ident in self.carried:
+                    self._recall(self.carried[ident])
             case api.CloseIdle(endpoint):
                 if endpoint in self.directory.places:
                     self.calls.close_idle(self.directory.places[endpoint])
             case api.Log(text):
                 self.log("module", text=text)
 
+    def _recall(self, carried: Carried) -> None:
+        waiting = self.behind.get(carried.order)
+        if waiting is not None and waiting.id == carried.kept.id:
+            del self.behind[carried.order]
+            self._not_sent(waiting, carried.kept.tries)
+        elif carried.attempt and carried.attempt.call:
+            carried.attempt.call.recall()
+
     def _over(self, ident: int, refused: bool, stay_ms: float) -> None:
         """The module has given it up: its client is told, or the platform where the client has its answer already."""
         carried = self.carried[ident]
@@ -259,8 +266,9 @@
         unix, module = unix_ms(), self.s.module
         tenant = module.tenants[hand.tenant].name if module.tenants else ""
         cls = module.classes[hand.class_]
+        order = order_number(hand.order, hand.key, cls)
         kept = Kept(self.last, {"ident": hand.ident, "class": cls.name, "tenant": tenant, "dest": hand.destination,
-                                "key": hand.key, "order": hand.order, "taken": round(unix, 1),
+                                "key": hand.key, "order": order, "taken": round(unix, 1),
                                 "due": round(unix + left, 1)}, exchange.body)
         carried = Carried(kept, exchange)
         exchange.body = b""
@@ -272,8 +280,7 @@
             if open_:
                 self.idents[ident] = True
         self.fresh.append(carried)
-        carried.order = order_number(hand.order, hand.key, cls)
-        self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant, carried.order,
+        self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant, order,
                                again=hand.again, from_dead_relay=hand.from_dead))
 
     def _promise(self, fresh: list[Carried]) -> None:
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -5,10 +5,11 @@
 import asyncio
 import contextlib
 import errno
+import itertools
 import json
 import os
 import shutil
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -47,6 +48,17 @@
     return [fields["x-correlation-id"] for _, fields, _ in world.calls]
 
 
+def connect_late(monkeypatch: pytest.MonkeyPatch, node: Node, pauses: Iterator[float]) -> None:
+    """From now on each connection to an endpoint takes so many seconds more to be made."""
+    opens = node.calls.pool._open
+
+    async def late(*where: Any) -> client.ClientConnection:
+        await asyncio.sleep(next(pauses))
+        return await opens(*where)
+
+    monkeypatch.setattr(node.calls.pool, "_open", late)
+
+
 def test_message_goes_on_unchanged_and_is_owed_no_notice(tmp_path: Path) -> None:
     body = bytes(range(256))
 
@@ -381,13 +393,7 @@
         node = await world.node()
         assert await ask(node, hand_in("k", "order")) == 202
         await until(lambda: ids(world) == ["k"])
-        opens = node.calls.pool._open
-
-        async def late(*where: Any) -> client.ClientConnection:
-            await asyncio.sleep(1.4)
-            return await opens(*where)
-
-        monkeypatch.setattr(node.calls.pool, "_open", late)
+        connect_late(monkeypatch, node, itertools.repeat(1.4))
         await until(lambda: world.notices)
         await asyncio.sleep(1.6)
         assert node.counts["attempts"] == 2  # the second one was decided, and ended without a byte
@@ -401,14 +407,7 @@
     async def story(world: World) -> None:
         world.script[1] = [b"HTTP/1.1 429 X\r\nRetry-After: 0.9\r\nContent-Length: 0\r\n\r\n"]
         node = await world.node()
-        opens = node.calls.pool._open
-        pauses = [0.0, 0.3]
-
-        async def late(*where: Any) -> client.ClientConnection:
-            await asyncio.sleep(pauses.pop(0) if pauses else 0.0)
-            return await opens(*where)
-
-        monkeypatch.setattr(node.calls.pool, "_open", late)
+        connect_late(monkeypatch, node, itertools.chain((0.0, 0.3), itertools.repeat(0.0)))
         told = node.loop.time()
         assert {*await asyncio.gather(ask(node, hand_in("a")), ask(node, hand_in("b")))} == {202}
         await until(lambda: node.counts.get("attempts") == 2 and len(world.calls) == 1)
