--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -256,8 +256,8 @@
         return NEVER if held.tries >= self.s.attempts else self._begin_by(held)
 
     def _begin_by(self, held: Held) -> float:
-        """Until when the last byte of a try may leave. A connection may take long to be made, and the network holds
-        what was decided in time until it is too late: only the writer of that byte can keep to it."""
+        """Until when the last byte of a try may leave. A connection may take long to be made, and what was
+        decided in time would leave too late: only the writer of that byte can keep to it."""
         if held.first_risk is None or held.cls.effect is Effect.SAFE:
             return held.due
         if held.cls.effect is Effect.UNSAFE:
@@ -283,7 +283,7 @@
         return max(0.0, min(stay, self.s.longest_advice_ms, due - now - MARGIN_MS))
 
     def _recall(self, acts: list[Action], endpoints: set[int]) -> None:
-        """What was sent to these in the gate's eyes, and may wait for its connection still: the gate is shut."""
+        """The gate is shut: what was sent to these in its eyes may wait for its connection still."""
         acts += [Recall(ident) for ident, held in self.board.held.items()
                  if held.out is not None and held.out.door.entry.id in endpoints]
 
