On sockets a call carries one message: riders no longer go out as calls that no slot holds

Its settings say that a kind takes ten messages a call (per-call), where the module lets others ride along in one slot; PROTOCOL has one message a call, so the relay made a call of each. Checked, ruled out: outages (no time-out but 2, no failed connection), the relay's CPU (0.06 s in 5 s), descriptors (36 of 672). At fault: node/config.py handed on kinds[].batch as the simulator means it. World of the tests now reads a file as the relay does. Test fails without the mend (more calls at once than slots).

--- a/linnetstile/node/config.py
+++ b/linnetstile/node/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -46,6 +46,13 @@
     return host, int(port)
 
 
+def one_a_call(module: api.Settings) -> api.Settings:
+    """The settings as they hold on sockets: a call to an endpoint carries one message (PROTOCOL, relays to endpoints),
+    also where a destination takes several. Guards slots and limits, which count each call: the module's riders
+    would go out as calls of their own that it does not count."""
+    return replace(module, kinds=tuple(replace(kind, batch=1) for kind in module.kinds))
+
+
 def _limit(raw: Mapping[str, Any], name: str, default: float, least: float) -> float:
     value = raw.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
@@ -87,7 +94,7 @@
     feedback = settings.get("feedback", {})
     fields = feedback.get("fields", []) if isinstance(feedback, dict) else []
     try:
-        module = platform.settings_from(settings)
+        module = one_a_call(platform.settings_from(settings))
     except platform.SettingsError as error:
         raise ConfigError(f"settings: {error}") from error
     return NodeSettings(
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -22,7 +22,7 @@
 from linnetstile.node.journal import Journal
 from linnetstile.node.relay import Node
 
-from .world import OK, RAW, World, ask, hand_in, port_of, until
+from .world import OK, RAW, World, ask, hand_in, port_of, read, until
 
 Story = Callable[[World], Awaitable[None]]
 
@@ -509,3 +509,26 @@
         assert ids(world) == ["a1", "a2"] and world.notices == [{"ref": "a1", "result": "bounced"}]
 
     play(tmp_path, story)
+
+
+def test_a_destination_that_takes_several_in_one_call_gets_no_more_calls_than_there_are_slots(tmp_path: Path) -> None:
+    """Riders of a call went out as calls of their own: more at once than slots, which the platform turns away."""
+    async def story(world: World) -> None:
+        world.raw = RAW | {"extra": {"call-slots": 2, "per-call": [10]}, "weight-kind": "silent"}
+        out: list[int] = [0]
+
+        async def slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read(reader)
+                out.append(out[-1] + 1)
+                await asyncio.sleep(0.1)
+                out.append(out[-1] - 1)
+                writer.write(OK)
+
+        await world.endpoint(2, serve=slowly)
+        node = await world.node()
+        assert set(await asyncio.gather(*(ask(node, hand_in(f"m{n}", dest=2)) for n in range(6)))) == {202}
+        await until(partial(idle, node))
+        assert max(out) == 2 and node.counts == {"taken": 6, "attempts": 6, "ended_ok": 6}
+
+    play(tmp_path, story)
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import Any
 
-from linnetstile.config import platform
 from linnetstile.node import config
 from linnetstile.node.relay import Node
 
@@ -111,8 +110,12 @@
 
     async def node(self, discovery: tuple[str, int] | None = None, **limits: Any) -> Node:
         """A relay of this world, ready."""
-        settings = config.NodeSettings("n0", ("127.0.0.1", 0), discovery or await self.discovery(), self.state, 1,
-                                       config.Limits(**limits), {}, platform.settings_from(self.raw), ("z",))
+        host, port = discovery or await self.discovery()
+        self.state.parent.mkdir(parents=True, exist_ok=True)
+        path = self.state.parent / "config.json"
+        path.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": f"{host}:{port}",
+                                    "seed": "1", "limits": limits, "settings": self.raw}))
+        settings = config.load({"GW_CONFIG": str(path), "GW_STATE": str(self.state)})
         node = Node(settings, lambda event, **fields: None)
         await node.start()
         self.nodes.append(node)
