A crowded relay refuses at the door rather than give back what it has taken on

Checked, ruled out: told waits and the last moment of a try (_last) end messages as they must; what is left over is the hold. At fault: control.py, _make_room, weighed what waits and what has just come in alike. Test fails without it.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -42,6 +42,7 @@
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 CRAWL = 8.0  # a call takes so many times as long as a usual answer (harmonic mean): its destination crawls
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
+EARLY, GIVEN_BACK = 0.7, 0.3  # a message given back in so much of its time costs so much of its worth more
 
 
 def averaged(mean: float, dev: float, took: float, gain: float) -> tuple[float, float]:
@@ -183,7 +184,7 @@
         # An unmarked first try is new however little time it has left: some clients are just in a hurry.
         old = msg.again or msg.from_dead_relay or not self.s.marks_repeats
         since = now + msg.left_ms - cls.deadline_ms if old else now
-        held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now)
+        held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now, now)
         if msg.tenant < len(self.shares):
             left, at = self.shares[msg.tenant]
             quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
@@ -197,7 +198,8 @@
         """What was taken on before a restart goes on as if there had been none: a call that was out has an
         unclear outcome, and the gate of every send decides by effect, window, attempts and time left."""
         held = Held(event.message, self.s.classes[event.message.class_], now - event.age_ms,
-                    now + event.message.left_ms, 0.0, now, tries=event.tries, risk=event.risk)
+                    now + event.message.left_ms, 0.0, now, now - event.age_ms, tries=event.tries,
+                    risk=event.risk)
         held.worth = held.cls.worth
         if event.risk_ms is not None:
             held.first_risk = now - event.risk_ms
@@ -305,10 +307,16 @@
         for _ in range(len(self.board.held) - int(CROWDED * self.s.hold)):
             queues = self.board.queues
             drained = {dest: now + 1000 * len(queues[dest]) / self._speed(now, dest) for dest in queues}
-            able = [held for queue in queues.values() for held in queue.values() if self._may_refuse(held)]
+            able = [each for queue in queues.values() for each in queue.values() if self._may_refuse(each)]
             if able:
                 self._end(now, min(able, key=lambda held: [
-                    held.worth_at(at, self.s.decay) for at in (drained[held.msg.destination], now)]), acts)
+                    self._missed(held, now, at) for at in (drained[held.msg.destination], now)]), acts)
+
+    def _missed(self, held: Held, now: float, at: float) -> float:
+        """What is lost if it is refused now and would else be delivered `at`. What comes in while there is no
+        room is refused at the door, for nothing, unless it is worth more than what is given back for it."""
+        early = held.taken < now < held.taken + EARLY * (held.due - held.taken)
+        return held.worth_at(at, self.s.decay) + (GIVEN_BACK * held.worth if early else 0.0)
 
     def _speed(self, now: float, dest: int) -> float:
         """Calls a second that this relay may expect to place at a destination."""
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -20,6 +20,7 @@
     due: float
     worth: float
     ready: float  # no try before
+    taken: float  # when this relay took it on
     last: float = NEVER  # no try from here on
     tries: int = 0
     out: Call | None = None
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -625,3 +625,23 @@
     for n in range(4):
         ident = d.message(SAFE, quick)
         assert ident in d.out, f"quick message {n} found no slot"
+
+
+def test_a_crowded_relay_refuses_at_the_door_what_is_worth_no_more_than_what_it_has_taken_on() -> None:
+    d = Driver(make_settings(hold=20))
+    d.listed((11, 1), (12, 2))
+    d.warm_up(1)
+    d.warm_up(2)
+    for _ in range(2):
+        ident = d.message(SAFE, 1)
+        d.pass_time(400)
+        d.answer(ident, api.Outcome.CONNECT_FAILED)
+    stuck = [d.message(KEYED, 1) for _ in range(17)]
+    d.pass_time(100)
+    taken = [ident for ident in stuck if ident not in d.ended]
+    more = [d.message(KEYED, 1) for _ in range(5)]  # worth the same, and their clients were told nothing yet
+    assert not set(taken) & set(d.ended) and all(isinstance(d.ended[ident], api.Refuse) for ident in more)
+    d.pass_time(7500)  # most of their time is over: what waits as long as they do goes by worth alone again
+    for _ in range(5):
+        d.message(KEYED, 1)
+    assert set(taken) & set(d.ended)
