Idle connections are closed where endpoints that hold few turn only new ones away, by 503

By endpoint (debug lines): on new connections 905 refused and 16 taken, on kept ones 86 taken and none refused; each endpoint of that kind holds 8 connections, a kept one is used for 49 ms in 0.7 s, half of them never again in the 9 s that they are kept. Checked, ruled out: limits (the list tells 510 calls a second there, 20 to 40 are taken; no wait is told), CPU, slots (busy 0). Change: decisions/connections.py tells the shortage by kind (new ones refused without a wait, kept ones not); a connection on which the next call goes out in the same turn is used first, so node/relay.py closes after it sends. A test of idle clients now has room for its 60 messages: since refusals at the door it needed luck.

--- /dev/null
+++ b/linnetstile/decisions/connections.py
@@ -0,0 +1,49 @@
+"""Whether the endpoints of a kind hold too few connections for all relays that keep one. No I/O and no clock.
+
+An endpoint that has all the connections it takes turns calls on new ones away with 503, which as well means above the
+limit, a full queue or shut (the platform's page, Relays to endpoints). Limits and queues turn away what comes on kept
+connections too, and may tell a wait: where most of what comes on new ones is turned away without one, and hardly
+anything on kept ones, connections are what is short, and each that a relay keeps idle is missing to the others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+FADES = 0.05  # weight of one call: what is known goes by some twenty of each sort
+MANY, FEW = 0.6, 0.2  # above and below these parts of calls turned away on new and on kept ones, there is a shortage
+ENOUGH = 0.1  # part of those on new connections below which there is no shortage any more
+BEFORE = 1.0  # calls that count as met, and taken, before any was: one that is turned away shows nothing
+
+
+@dataclass(slots=True)
+class Refusals:
+    """Calls, and those turned away, in which older ones weigh less and less."""
+
+    calls: float = 0.0
+    refused: float = 0.0
+
+    def add(self, refused: bool) -> None:
+        self.calls = self.calls * (1 - FADES) + 1
+        self.refused = self.refused * (1 - FADES) + refused
+
+    @property
+    def part(self) -> float:
+        return self.refused / (self.calls + BEFORE)
+
+
+@dataclass(slots=True)
+class Places:
+    """What one relay has met at the endpoints of one kind; `short` from entry to exit, which lie apart."""
+
+    new: Refusals = field(default_factory=Refusals)
+    kept: Refusals = field(default_factory=Refusals)
+    short: bool = False
+
+    def met(self, kept: bool, refused: bool, waits: bool) -> None:
+        """A call was answered: `refused`, and then with a told wait or without."""
+        if kept:
+            self.kept.add(refused)
+        else:
+            self.new.add(refused and not waits)  # a told wait is a limit's, whatever the connection
+        part = self.new.part
+        self.short = part > ENOUGH if self.short else part > MANY and self.kept.part < FEW
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -7,6 +7,7 @@
 import heapq
 import random
 
+from .connections import Places
 from .interface import (
     Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Leaving, Listing,
     ListKind, Message, Outcome, Rates, Recall, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared,
@@ -75,6 +76,8 @@
         self.flow = Flow()  # answers of all destinations
         self.starts: dict[int, float] = {}  # kind of destination -> calls a second that may go unpaced
         self.blocked: dict[int, float] = {}  # of a kind: part of answers that follow a missed connection
+        self.places: dict[int, Places] = {}  # of a kind: whether its endpoints hold few connections
+        self.spare: list[Door] = []  # with connections that are left idle only where there are many
         self.stale = 0.0  # part of the calls on kept connections that met a closed one
         self.end_at = float("inf")  # of this process
         self.busy = 0
@@ -111,6 +114,7 @@
             self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
         self._close_late(now_ms, acts)
         self._dispatch(now_ms, acts)
+        self._close_spare(acts)
         self._make_room(acts, now_ms)
         wakes = [at for at in self.board.look_at.values() if at > now_ms] + [end[0] for end in self.ends[:1]]
         wake = min(wakes + ([self.ask_at] if self.ask_at is not None else []), default=None)
@@ -360,9 +364,11 @@
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED) and not stale:
             self._failed(now, door, held, event)
-        if door.warm and self.blocked.get(door.lane.kind, 0.0) > SCARCE:  # idle ones use up few connections
-            door.warm = []
-            acts.append(CloseIdle(door.entry.id))
+        places = self.places.setdefault(door.lane.kind, Places())
+        if counts and door.warm and not event.no_slot:
+            places.met(event.reused, event.outcome is Outcome.FULL, event.wait_ms > 0)
+        if places.short or self.blocked.get(door.lane.kind, 0.0) > SCARCE:
+            self.spare.append(door)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
             self._reported(door.lane, *(event.report[n] for n in self.s.limit_report))
         if event.finished or held.withdrawn:
@@ -370,6 +376,14 @@
         else:
             self._wait(held)
 
+    def _close_spare(self, acts: list[Action]) -> None:
+        """Idle connections use up the few that there are, unless the next call has gone out on them."""
+        for door in self.spare:
+            if door.warm:
+                door.warm = []
+                acts.append(CloseIdle(door.entry.id))
+        self.spare = []
+
     def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
         lane = door.lane
         self.flow.add(now, FADE_MS)
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -160,14 +160,15 @@
         """One turn of the module. What it takes on is in the journal before its client hears of it, and an attempt is
         in the journal before its call begins."""
         fresh, self.fresh = self.fresh, []
-        sends: list[api.Send] = []
+        sends = [action for action in actions if isinstance(action, api.Send)]
         for action in actions:
-            if isinstance(action, api.Send):
-                sends.append(action)
-            else:
+            if not isinstance(action, (api.Send, api.CloseIdle)):
                 self._act(action)
         self._promise([carried for carried in fresh if carried.exchange is not None])
         self._send_all(sends)
+        for action in actions:  # what has just gone out may be on a connection that was idle
+            if isinstance(action, api.CloseIdle) and action.endpoint in self.directory.places:
+                self.calls.close_idle(self.directory.places[action.endpoint])
         self.journal.flush()
         if self.journal.full:
             self.journal.rewrite([*(carried.kept for carried in self.carried.values()), *self.owed.values()])
@@ -185,9 +186,6 @@
             case api.Recall(ident):
                 if ident in self.carried:
                     self._recall(self.carried[ident])
-            case api.CloseIdle(endpoint):
-                if endpoint in self.directory.places:
-                    self.calls.close_idle(self.directory.places[endpoint])
             case api.Log(text):
                 self.log("module", text=text)
 
--- /dev/null
+++ b/tests/decisions/test_connections.py
@@ -0,0 +1,73 @@
+"""Which refusals mean that connections are short, and which a limit or a queue."""
+
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.connections import ENOUGH, Places
+
+from ..conftest import SAFE, Driver, make_settings
+
+
+def met(places: Places, *calls: tuple[bool, bool, bool]) -> bool:
+    for kept, refused, waits in calls:
+        places.met(kept, refused, waits)
+    return places.short
+
+
+NEW, NEW_REFUSED, NEW_WAIT = (False, False, False), (False, True, False), (False, True, True)
+KEPT, KEPT_REFUSED = (True, False, False), (True, True, False)
+
+
+def test_refusals_on_new_connections_alone_are_a_shortage() -> None:
+    assert not met(Places(), NEW_REFUSED)  # one shows nothing
+    assert met(Places(), *[NEW_REFUSED] * 2)
+    assert met(Places(), NEW, *[KEPT] * 5, *[NEW_REFUSED] * 4)
+
+
+def test_a_limit_refuses_on_kept_connections_too_or_tells_a_wait() -> None:
+    assert not met(Places(), *[KEPT_REFUSED] * 3, *[NEW_REFUSED] * 10)
+    assert not met(Places(), *[NEW_WAIT] * 20)
+    assert not met(Places(), *[NEW, NEW_REFUSED] * 20)
+
+
+def test_a_shortage_ends_when_new_connections_are_hardly_refused_and_does_not_flap() -> None:
+    places = Places()
+    assert met(places, *[NEW_REFUSED] * 20)
+    assert met(places, *[NEW] * 10)  # far below the way in
+    assert places.new.part > ENOUGH
+    assert not met(places, *[NEW] * 60) and not met(places, NEW_REFUSED)
+
+
+def answered(d: Driver, dest: int, outcome: api.Outcome = api.Outcome.OK, reused: bool = False) -> list[api.Action]:
+    """Hands a message in, and ends it with its first answer."""
+    ident = d.message(SAFE, dest)
+    for _ in range(400):
+        if ident in d.out:
+            break
+        d.pass_time(20)
+    send = d.out.pop(ident)
+    return d.feed(api.AttemptEnded(ident, 0, send.endpoint, outcome, 100.0, True, reused=reused))
+
+
+def test_idle_connections_are_closed_where_only_new_ones_are_refused() -> None:
+    """190 relays kept one each at endpoints that hold eight, and used them for 50 ms in 700."""
+    d = Driver(make_settings(kinds=(api.DestinationKind("few"), api.DestinationKind("many"))))
+    d.listed((11, 1), (12, 2))
+    d.feed(api.EndpointList(api.ListKind.CHANGES, (api.Endpoint(13, 3, api.Listing.READY, 1, 0, 20.0),)))
+    assert not any(isinstance(act, api.CloseIdle) for act in answered(d, 1))
+    for _ in range(3):
+        answered(d, 2, api.Outcome.FULL)
+    assert api.CloseIdle(11) in answered(d, 1, reused=True)
+    assert not any(isinstance(act, api.CloseIdle) for act in answered(d, 3))  # another kind
+
+
+def test_a_connection_on_which_the_next_call_goes_out_at_once_is_not_closed() -> None:
+    d = Driver(make_settings(slots=1))
+    d.listed((11, 1), (12, 2))
+    d.warm_up(1)
+    for _ in range(20):
+        answered(d, 2, api.Outcome.FULL)
+    first, second = d.message(SAFE, 1), d.message(SAFE, 1)
+    d.pass_time(100)
+    acts = d.answer(first)
+    assert any(isinstance(act, api.Send) and act.id == second for act in acts)
+    assert not any(isinstance(act, api.CloseIdle) for act in acts)
+    assert api.CloseIdle(11) in d.answer(second)
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from linnetstile.decisions.connections import Places
 from linnetstile.net import client, server
 from linnetstile.node import journal
 from linnetstile.node.front import HandIn
@@ -150,6 +151,7 @@
 
 def test_kept_connections_of_clients_stay_below_the_third_that_clients_have(tmp_path: Path) -> None:
     async def story(world: World) -> None:
+        world.raw = RAW | {"limits": RAW["limits"] | {"open-cap": 200}}  # none is refused for want of room
         node = await world.node(sockets=120)
         kept = []
         for number in range(60):  # each asks once and stays
@@ -532,3 +534,30 @@
         assert max(out) == 2 and node.counts == {"taken": 6, "attempts": 6, "ended_ok": 6}
 
     play(tmp_path, story)
+
+
+def test_connections_that_are_short_are_used_on_for_what_waits_and_closed_after_it(tmp_path: Path) -> None:
+    async def story(world: World) -> None:
+        world.raw = RAW | {"extra": {"call-slots": 1}}
+        made: list[str] = []
+
+        async def slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            made.append("")
+            while True:
+                made[-1] += (await read(reader))[1]["x-correlation-id"]
+                await asyncio.sleep(0.1)
+                writer.write(OK)
+
+        await world.endpoint(2, serve=slowly)
+        node = await world.node()
+        places = node.relay.places[0] = Places()
+        for _ in range(20):
+            places.met(kept=False, refused=True, waits=False)
+        assert set(await asyncio.gather(*(ask(node, hand_in(f"m{n}", dest=2)) for n in range(4)))) == {202}
+        await until(partial(idle, node))
+        assert len(made) == 1 and not node.calls.pool.resting  # used on while something waited
+        assert await ask(node, hand_in("m4", dest=2)) == 202
+        await until(partial(idle, node))
+        assert len(made) == 2 and made[1] == "m4"
+
+    play(tmp_path, story)
