Endpoints that are alike are used by chance, and one without a connection left comes later

Checked, ruled out: the list (both are SERVING), zones and fees (none there), failures (errors 27 of 3,488). At fault: control.py, _door, rank ended with entry.id: of two alike every relay uses the lower number, and a refusal marks no endpoint. Harmless in one relay, one endpoint for all in hundreds. Change: a lot drawn with each endpoint breaks the tie; where connections are short (decisions/connections.py) an endpoint that turned a new one away comes after the others for the time that a refusal counts (HOLD_MS). Tests fail without either.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -172,7 +172,7 @@
         if door is None:
             if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
                 self._cold(now, lane)
-            self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane)
+            self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane, lot=self.rng.random())
             self.board.look(dest)
         else:
             door.entry = entry
@@ -364,9 +364,11 @@
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED) and not stale:
             self._failed(now, door, held, event)
-        places = self.places.setdefault(door.lane.kind, Places())
+        places = self._places(door.lane)
         if counts and door.warm and not event.no_slot:
-            places.met(event.reused, event.outcome is Outcome.FULL, event.wait_ms > 0)
+            full = event.outcome is Outcome.FULL
+            places.met(event.reused, full, event.wait_ms > 0)
+            door.full_at = now if full and not event.reused else NEVER
         if places.short or self.blocked.get(door.lane.kind, 0.0) > SCARCE:
             self.spare.append(door)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
@@ -376,6 +378,9 @@
         else:
             self._wait(held)
 
+    def _places(self, lane: Lane) -> Places:
+        return self.places.setdefault(lane.kind, Places())
+
     def _close_spare(self, acts: list[Action]) -> None:
         """Idle connections use up the few that there are, unless the next call has gone out on them."""
         for door in self.spare:
@@ -540,15 +545,19 @@
     # -- slots and choice --------------------------------------------------------------------------------
 
     def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
-        """The endpoint to use: none of late failures (of this class above all), little busy, warm, cheap."""
-        def rank(door: Door) -> tuple[float, float, int]:
+        """The endpoint to use: none of late failures (of this class above all), little busy, warm, cheap, with
+        connections left where they are short. Alike ones by chance: else all relays use the same."""
+        short = self._places(lane).short
+
+        def rank(door: Door) -> tuple[float, float, float]:
             zone = door.entry.zone
             fee = self.s.route_fees[zone] if zone < len(self.s.route_fees) else 0.0
             fee += self.s.cross_zone_price * (zone != self.s.zone)
             door.warm = [at for at in door.warm if now - at < self.s.idle_ms * KEPT]
             recent = [class_ for class_, at in door.faults.items() if now - at < FADE_MS]
             load = door.out + 8.0 * (held.msg.class_ in recent) + 2.0 * len(recent)
-            return load + 0.9 * (not door.warm) + 1.5 * (fee > 0), fee, door.entry.id
+            load += 2.0 * (short and now - door.full_at < HOLD_MS)
+            return load + 0.9 * (not door.warm) + 1.5 * (fee > 0), fee, door.lot
 
         able = [door for door in lane.doors.values() if self._may_send(now, held, door)]
         return min(able, key=rank) if able else None
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -66,6 +66,8 @@
     out: int = 0
     faults: dict[int, float] = field(default_factory=dict)  # class -> latest failure, if none answered since
     warm: list[float] = field(default_factory=list)  # when each idle connection was last used
+    lot: float = 0.0  # drawn by chance: which of two alike is used first
+    full_at: float = NEVER  # latest refusal on a new connection, if none was taken since
 
 
 @dataclass(slots=True, eq=False)  # told apart by identity: two calls may be alike
--- a/tests/decisions/test_connections.py
+++ b/tests/decisions/test_connections.py
@@ -71,3 +71,32 @@
     assert any(isinstance(act, api.Send) and act.id == second for act in acts)
     assert not any(isinstance(act, api.CloseIdle) for act in acts)
     assert api.CloseIdle(11) in d.answer(second)
+
+
+def test_relays_do_not_all_use_the_same_one_of_two_endpoints_that_are_alike() -> None:
+    """The lower number was used first by every relay: harmless in one, and one endpoint for all in hundreds."""
+    first = []
+    for seed in range(40):
+        d = Driver(seed=seed)
+        d.listed((11, 1), (12, 1))
+        d.message(SAFE)
+        d.pass_time(20)
+        first.append(d.sent[0][1].endpoint)
+    assert 10 <= first.count(11) <= 30
+
+
+def test_an_endpoint_without_a_connection_left_comes_after_the_others_for_a_while() -> None:
+    def used(short: bool, fee: float) -> list[int]:
+        d = Driver(make_settings(route_fees=(0.0, fee)))
+        d.feed(api.EndpointList(api.ListKind.CACHED, (
+            api.Endpoint(11, 1, api.Listing.READY, 0, 0, 20.0), api.Endpoint(12, 1, api.Listing.READY, 0, 1, 20.0))))
+        for _ in range(20 if short else 0):
+            d.relay.places.setdefault(0, Places()).met(kept=False, refused=True, waits=False)
+        answered(d, 1, api.Outcome.FULL)
+        answered(d, 1)
+        d.pass_time(5000)
+        answered(d, 1)
+        return [send.endpoint for _, send in d.sent]
+
+    assert used(short=True, fee=0.02) == [11, 12, 11]
+    assert used(short=False, fee=0.02) == [11, 11, 11]  # a limit is the whole destination's: no reason to pay
