--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -545,8 +545,8 @@
     # -- slots and choice --------------------------------------------------------------------------------
 
     def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
-        """The endpoint to use: none of late failures (of this class above all), little busy, warm, cheap, with
-        connections left where they are short. Alike ones by chance: else all relays use the same."""
+        """The endpoint to use: none of late failures (of this class above all), little busy, warm, with
+        connections left where they are short, cheap. Alike ones by chance: else all relays use the same."""
         short = self._places(lane).short
 
         def rank(door: Door) -> tuple[float, float, float]:
