--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -6,6 +6,7 @@
 
 import heapq
 import random
+from collections import defaultdict
 
 from .connections import Places
 from .interface import (
@@ -76,7 +77,7 @@
         self.flow = Flow()  # answers of all destinations
         self.starts: dict[int, float] = {}  # kind of destination -> calls a second that may go unpaced
         self.blocked: dict[int, float] = {}  # of a kind: part of answers that follow a missed connection
-        self.places: dict[int, Places] = {}  # of a kind: whether its endpoints hold few connections
+        self.places: defaultdict[int, Places] = defaultdict(Places)  # of a kind: its connections
         self.spare: list[Door] = []  # with connections that are left idle only where there are many
         self.stale = 0.0  # part of the calls on kept connections that met a closed one
         self.end_at = float("inf")  # of this process
@@ -364,8 +365,8 @@
             self._answered(now, door, held, event.latency_ms)
         elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED) and not stale:
             self._failed(now, door, held, event)
-        places = self._places(door.lane)
-        if counts and door.warm and not event.no_slot:
+        places = self.places[door.lane.kind]
+        if counts and door.warm:  # it was answered
             full = event.outcome is Outcome.FULL
             places.met(event.reused, full, event.wait_ms > 0)
             door.full_at = now if full and not event.reused else NEVER
@@ -378,9 +379,6 @@
         else:
             self._wait(held)
 
-    def _places(self, lane: Lane) -> Places:
-        return self.places.setdefault(lane.kind, Places())
-
     def _close_spare(self, acts: list[Action]) -> None:
         """Idle connections use up the few that there are, unless the next call has gone out on them."""
         for door in self.spare:
@@ -547,7 +545,7 @@
     def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
         """The endpoint to use: none of late failures (of this class above all), little busy, warm, with
         connections left where they are short, cheap. Alike ones by chance: else all relays use the same."""
-        short = self._places(lane).short
+        short = self.places[lane.kind].short
 
         def rank(door: Door) -> tuple[float, float, float]:
             zone = door.entry.zone
--- a/tests/decisions/test_connections.py
+++ b/tests/decisions/test_connections.py
@@ -91,7 +91,7 @@
         d.feed(api.EndpointList(api.ListKind.CACHED, (
             api.Endpoint(11, 1, api.Listing.READY, 0, 0, 20.0), api.Endpoint(12, 1, api.Listing.READY, 0, 1, 20.0))))
         for _ in range(20 if short else 0):
-            d.relay.places.setdefault(0, Places()).met(kept=False, refused=True, waits=False)
+            d.relay.places[0].met(kept=False, refused=True, waits=False)
         answered(d, 1, api.Outcome.FULL)
         answered(d, 1)
         d.pass_time(5000)
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -16,7 +16,6 @@
 
 import pytest
 
-from linnetstile.decisions.connections import Places
 from linnetstile.net import client, server
 from linnetstile.node import journal
 from linnetstile.node.front import HandIn
@@ -550,9 +549,8 @@
 
         await world.endpoint(2, serve=slowly)
         node = await world.node()
-        places = node.relay.places[0] = Places()
         for _ in range(20):
-            places.met(kept=False, refused=True, waits=False)
+            node.relay.places[0].met(kept=False, refused=True, waits=False)
         assert set(await asyncio.gather(*(ask(node, hand_in(f"m{n}", dest=2)) for n in range(4)))) == {202}
         await until(partial(idle, node))
         assert len(made) == 1 and not node.calls.pool.resting  # used on while something waited
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -27,7 +27,8 @@
     assert late not in d.ended
 
 
-def test_sick_destination_pays_for_the_room_it_takes() -> None:
+def small_hold_beside_a_sick_destination() -> Driver:
+    """Destinations 1 and 2 were well; 1 has failed since."""
     d = Driver(make_settings(hold=20))
     d.listed((11, 1), (12, 2))
     d.warm_up(1)
@@ -36,6 +37,11 @@
         ident = d.message(SAFE, 1)
         d.pass_time(400)
         d.answer(ident, api.Outcome.CONNECT_FAILED)
+    return d
+
+
+def test_sick_destination_pays_for_the_room_it_takes() -> None:
+    d = small_hold_beside_a_sick_destination()
     stuck = [d.message(KEYED, 1) for _ in range(14)]
     well = [d.message(SAFE, 2) for _ in range(8)]
     assert not set(well) & set(d.ended) and set(d.ended) & set(stuck)
@@ -628,14 +634,7 @@
 
 
 def test_a_crowded_relay_refuses_at_the_door_what_is_worth_no_more_than_what_it_has_taken_on() -> None:
-    d = Driver(make_settings(hold=20))
-    d.listed((11, 1), (12, 2))
-    d.warm_up(1)
-    d.warm_up(2)
-    for _ in range(2):
-        ident = d.message(SAFE, 1)
-        d.pass_time(400)
-        d.answer(ident, api.Outcome.CONNECT_FAILED)
+    d = small_hold_beside_a_sick_destination()
     stuck = [d.message(KEYED, 1) for _ in range(17)]
     d.pass_time(100)
     taken = [ident for ident in stuck if ident not in d.ended]
