A watch reads lists however they come, always asks for all, and is older than none it has

A watch asks for the whole list now; it comes at once, shows that the watch leads somewhere, and makes up for what the one before left out. - a line that drips, or that stops inside a chunk's size, is bounded by decisions/lists.py. - an older whole list took endpoints back in; it counts only when discovery says it twice in a row. - `cell` 1e999 (OverflowError) and a name that can't be encoded broke `take` half way; an address with a line feed would have broken a turn of the module. Entries are checked, a spoilt one leaves its endpoint as it was, one that ends an endpoint needs its name alone; a DELETED and SERVING of one name in one list are two endpoints. - a name that can't be looked up (ValueError) ended `_keep` for good.

--- a/linnetstile/codec/http1.py
+++ b/linnetstile/codec/http1.py
@@ -191,6 +191,11 @@
         """Bytes held that have not become an event yet."""
         return len(self._buf)
 
+    @property
+    def midway(self) -> bool:
+        """Some of a head, a chunk or its size has come, and not all of it."""
+        return bool(self._buf) or self._state == self._chunk_data
+
     def _beginning(self) -> bytes:
         """What the next response begins with, where its head is not complete."""
         return bytes(self._buf[:32]) if self.client and self._state == self._head else b""
--- a/linnetstile/decisions/bounds.py
+++ b/linnetstile/decisions/bounds.py
@@ -7,9 +7,6 @@
 
 HEAD_S = 1.5  # a request is complete, or its client gets an error: the platform owes bad clients one within 3 s
 IDLE_S = 2.0  # a connection without an open request is kept so long: the platform lets it be closed after 2 s
-QUIET_S = 2.6  # a watch of discovery is opened anew after so long a silence: an empty line comes every 2 s
-STALL_S = 0.5  # or in the middle of a line: what a change told counts from when it began
-FIRST_S = 1.0  # or before anything came: discovery is down, or the connection leads nowhere
 SETTLE_S = 1.0  # a start waits so long for discovery's list before it makes do with the known one
 NOTICE_S = 1.0  # one post of notices may take so long: the platform answers at once
 CONNECT_S = 1.0  # a watch's connection may take so long to be made: its peer is on this machine
@@ -40,11 +37,6 @@
     return Bounds(clients, max(slots, min(4 * slots, sockets // 4)), int(disk / 4), int(disk / 2))
 
 
-def silence_s(useful: bool, part: bool) -> float:
-    """How long a watch may be silent: `useful` once an object came, `part` in the middle of a line."""
-    return STALL_S if part else QUIET_S if useful else FIRST_S
-
-
 def pause_ms(fails: int, pauses: tuple[float, float], rng: random.Random) -> float:
     """Growing, jittered pause before discovery or the platform is asked again after `fails` failures in a row;
     `pauses` are the first and the longest one."""
--- a/linnetstile/node/config.py
+++ b/linnetstile/node/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -12,6 +13,7 @@
 from ..decisions import interface as api
 
 Address = tuple[str, int]
+HOST = re.compile(r"[0-9A-Za-z_][0-9A-Za-z_.-]{0,252}\Z")
 
 
 class ConfigError(ValueError):
@@ -41,7 +43,8 @@
 
 def address(text: object, where: str) -> Address:
     host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+    good = colon and HOST.match(host) and port.isascii() and port.isdigit() and len(port) < 6
+    if not good or int(port) > 65535:
         raise ConfigError(f"{where}: expected HOST:PORT, found {text!r}")
     return host, int(port)
 
--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -3,20 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import json
+import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ..codec import http1
+from ..codec.objects import Objects
 from ..decisions import interface as api
-from ..decisions.bounds import CONNECT_S, WATCH_MS, pause_ms, silence_s
+from ..decisions.bounds import CONNECT_S, WATCH_MS, pause_ms
+from ..decisions.lists import STALL_S, Versions, watch_until
 from ..net.wire import Wire
 from .config import Address, address
 
 STATES = {"SERVING": api.Listing.READY, "DRAINING": api.Listing.DRAINING, "DELETED": api.Listing.GONE}
-LINE = 8 * 1024 * 1024  # bytes: a longer line of the watch is no list
+LIST = 8 * 1024 * 1024  # bytes: a longer object is no list
+NAME = 256  # bytes of an endpoint's name
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +34,10 @@
     destination: int
 
 
+class NoList(ValueError):
+    """What discovery told is no list, or an older one than is known."""
+
+
 class Directory:
     """Discovery's entries by name and by the number that the module knows them by. A number is never used twice, so
     an endpoint that takes over an address, or a name, shares nothing with the one before."""
@@ -39,47 +46,64 @@
         self.kinds = {name: number for number, name in enumerate(kinds)}
         self.zones = {name: number for number, name in enumerate(zones)}
         self.places: dict[int, Place] = {}
+        self.listed: dict[int, api.Endpoint] = {}  # as the module was told last
         self.numbers: dict[str, int] = {}
         self.destinations: set[int] = set()  # ever listed
-        self.version = -1
+        self.versions = Versions()
         self.last = 0
         self.skipped = 0  # entries that could not be read
 
-    def take(self, told: object, cached: bool = False) -> api.EndpointList | None:
-        """One object of discovery as an event; None if it is none. Entries that can't be read are left out."""
-        if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
-            return None
-        whole = bool(told.get("full"))
-        entries, gone = [], []
-        for raw in told["servers"]:
+    def take(self, told: object, cached: bool = False) -> api.EndpointList:
+        """One object of discovery as an event. An entry that can't be read leaves its endpoint as it was. Raises
+        NoList."""
+        servers = told.get("servers") if isinstance(told, dict) else None
+        if not isinstance(told, dict) or not isinstance(servers, list):
+            raise NoList("expected an object with a list of servers")
+        whole, version = bool(told.get("full")), told.get("version")
+        if isinstance(version, bool) or not isinstance(version, int):
+            version = None
+        if not cached and not self.versions.takes(version, whole):
+            raise NoList(f"version {version} is older than {self.versions.newest}")
+        entries: dict[int, api.Endpoint] = {}  # the last word on each counts
+        for raw in servers:
+            name = raw.get("id") if isinstance(raw, dict) else None
+            number = self.numbers.get(name, 0) if isinstance(name, str) else 0
             try:
-                entry = self._entry(raw)
-            except (KeyError, TypeError, ValueError):
+                entry = self._entry(raw, name, number)
+            except (KeyError, TypeError, ValueError, OverflowError):
                 self.skipped += 1
-                continue
+                entry = self.listed.get(number)
             if entry is not None:
-                entries.append(entry)
+                entries[entry.id] = entry
                 if entry.listing is api.Listing.GONE:
-                    gone.append(entry.id)
+                    self._drop(entry.id)
         if whole:
-            named = {entry.id for entry in entries}
-            gone += [number for number in self.places if number not in named]
-        for number in gone:
-            place = self.places.pop(number, None)
-            if place is not None:
-                del self.numbers[place.name]
-        if isinstance(told.get("version"), int):
-            self.version = told["version"]
+            for number in [number for number in self.places if number not in entries]:
+                self._drop(number)
         kind = api.ListKind.CACHED if cached else api.ListKind.WHOLE if whole else api.ListKind.CHANGES
-        return api.EndpointList(kind, tuple(entries))
+        return api.EndpointList(kind, tuple(entries.values()))
+
+    def _drop(self, number: int) -> None:
+        place = self.places.pop(number)
+        del self.numbers[place.name], self.listed[number]
 
-    def _entry(self, raw: dict[str, Any]) -> api.Endpoint | None:
-        name, listing = str(raw["id"]), STATES[raw["state"]]
-        number = self.numbers.get(name, 0)
+    def _entry(self, raw: dict[str, Any], name: object, number: int) -> api.Endpoint | None:
+        """None: it was not known, and is gone."""
+        if not isinstance(name, str) or not 0 < len(name.encode()) <= NAME:
+            raise ValueError("id")
+        listing = STATES[raw["state"]]
         if listing is api.Listing.GONE and not number:
             return None
+        if listing is not api.Listing.READY and number:  # that it ends is all that has to be read
+            self.listed[number] = entry = replace(self.listed[number], listing=listing)
+            return entry
         host, port = address(raw["addr"], "addr")
-        destination, rate = int(raw["cell"]), float(raw.get("weight", 0.0))
+        destination = raw["cell"]
+        if isinstance(destination, bool) or not isinstance(destination, int) or not 0 <= destination < 10**9:
+            raise ValueError("cell")
+        rate = raw.get("weight") or 0.0
+        if not isinstance(rate, (int, float)) or not math.isfinite(rate):
+            rate = 0.0  # none is told
         zone = self.zones.get(str(raw.get("zone")), len(self.zones))
         kind = self.kinds.get(str(raw.get("kind")), len(self.kinds))
         if not number:
@@ -87,7 +111,8 @@
             number = self.numbers[name] = self.last
         self.places[number] = Place(number, name, host, port, zone, destination)
         self.destinations.add(destination)
-        return api.Endpoint(number, destination, listing, kind, zone, rate)
+        self.listed[number] = entry = api.Endpoint(number, destination, listing, kind, zone, float(rate))
+        return entry
 
 
 class _Stream(Wire):
@@ -97,51 +122,55 @@
         self.watch = watch
         self.parser = http1.Parser(client=True, limits=http1.Limits(body=1 << 60))
         self.parser.expect("GET")
-        self.line = bytearray()
+        self.objects = Objects(LIST)
         self.heard = watch.loop.time()
-        self.useful = False
+        self.begun: float | None = None  # since when a part of something waits for its rest
+        self.useful = False  # a list came
+        self.sound = True  # nothing that could not be read
         self.over: asyncio.Future[None] = watch.loop.create_future()
         self.hungry = True
 
     def received(self, data: memoryview) -> None:
+        if self.over.done():
+            return
         self.heard = self.watch.loop.time()
         try:
-            events = self.parser.feed(data)
-        except http1.ProtocolError:
-            events = []
+            self._take(self.parser.feed(data))
+            if self.parser.failed:
+                raise self.parser.failed
+        except (http1.ProtocolError, ValueError) as error:
+            self.watch.garbled(error)
+            self.sound = False
+            self.end()
+        part = self.parser.midway or self.objects.part
+        self.begun = (self.heard if self.begun is None else self.begun) if part else None
+
+    def _take(self, events: list[http1.Event]) -> None:
+        """Raises ValueError."""
         for event in events:
             if isinstance(event, http1.Response):
                 if event.status != 200:
-                    self.watch.version_refused()
-                    self.transport.abort()
-                    return
+                    raise ValueError(f"the watch was answered {event.status}")
             elif isinstance(event, http1.Data):
-                self.line += event.data
-                self._lines()
+                for told in self.objects.feed(event.data):
+                    self.begun = None
+                    self.watch.told(self, told)
+                    self.useful = True
+                if self.objects.failed:
+                    raise self.objects.failed
             elif isinstance(event, http1.End):
-                self.transport.abort()
-        if self.parser.failed or len(self.line) > LINE:
-            self.transport.abort()
+                self.end()
 
-    def _lines(self) -> None:
-        *lines, rest = self.line.split(b"\n")
-        self.line = bytearray(rest)
-        for line in lines:
-            if line.strip():
-                try:
-                    told = json.loads(line)
-                except ValueError:
-                    self.watch.garbled += 1
-                    self.watch.version_refused()  # a change may be in it: the whole list makes up for it
-                    self.transport.abort()
-                    return
-                self.useful = True
-                self.watch.told(self, told)
+    def end(self) -> None:
+        """Whatever comes on it from now on is not heard."""
+        if not self.over.done():
+            self.over.set_result(None)
+        if not self.lost:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        if not self.over.done():
-            self.over.set_result(None)
+        self.end()
 
 
 class Watch:
@@ -155,7 +184,8 @@
         self.task: asyncio.Task[None] | None = None
         self.first = asyncio.Event()  # something was heard
         self.fails = 0
-        self.opened = self.garbled = 0
+        self.opened = self.spoilt = 0
+        self.why = ""  # of the latest that was spoilt
 
     def start(self) -> None:
         self.task = self.loop.create_task(self._keep())
@@ -169,22 +199,19 @@
     def close(self) -> None:
         if self.task:
             self.task.cancel()
-        if self.stream and not self.stream.lost:
-            self.stream.transport.abort()
+        if self.stream:
+            self.stream.end()
         self.stream = None
 
-    def version_refused(self) -> None:
-        """The next watch asks for the whole list."""
-        self.directory.version = -1
+    def garbled(self, error: Exception) -> None:
+        self.spoilt += 1
+        self.why = str(error)
 
     def told(self, stream: _Stream, told: object) -> None:
+        """Raises NoList."""
         if stream is not self.stream:
             return
         event = self.directory.take(told)
-        if event is None:
-            self.garbled += 1
-            return
-        self.fails = 0
         self.first.set()
         self.hear(event)
 
@@ -193,25 +220,26 @@
             try:
                 async with asyncio.timeout(CONNECT_S):
                     _, stream = await self.loop.create_connection(lambda: _Stream(self), *self.where)
-            except (OSError, TimeoutError):
-                pass
-            else:
                 await self._read(stream)
-                if stream.useful:
+                if stream.useful and stream.sound:
                     self.fails = 0
+            except (OSError, TimeoutError, ValueError):  # the last: a name that can't be looked up
+                pass
             self.fails += 1
             await asyncio.sleep(pause_ms(self.fails, WATCH_MS, self.rng) / 1000)
 
     async def _read(self, stream: _Stream) -> None:
+        """Until the stream has ended, or has been silent for too long. It begins with the whole list: that shows soon
+        whether it leads anywhere, and makes up for whatever the one before it left out."""
         self.stream = stream
         self.opened += 1
-        since = f"&since={self.directory.version}" if self.directory.version >= 0 else ""
         host = f"{self.where[0]}:{self.where[1]}"
-        stream.put(http1.request("GET", f"/api/targets?follow=1{since}", [("Host", host)]))
+        stream.put(http1.request("GET", "/api/targets?follow=1", [("Host", host)]))
         while not stream.over.done():
-            left = stream.heard + silence_s(stream.useful, bool(stream.line)) - self.loop.time()
-            if left <= 0:  # discovery is down, or this connection leads nowhere: it may stop in the middle of a line
-                stream.transport.abort()
+            now = self.loop.time()
+            until = watch_until(stream.heard, stream.useful, stream.begun)
+            if until <= now:  # discovery is down, or this connection leads nowhere: it may stop in the middle of a line
+                stream.end()
                 return
             # Looked at again that often: a line may begin, and stop, at any moment.
-            await asyncio.wait([stream.over], timeout=min(left, silence_s(True, True)))
+            await asyncio.wait([stream.over], timeout=min(until - now, STALL_S))
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import random
 import time
@@ -21,7 +22,7 @@
 from . import journal
 from .calls import Calls
 from .config import Address, NodeSettings
-from .discovery import Directory, Place, Watch
+from .discovery import Directory, NoList, Place, Watch
 from .finals import Finals
 from .front import Front, HandIn, answer
 from .journal import Journal, Kept
@@ -115,9 +116,8 @@
                  resumed=len(self.carried), notices=len(self.owed), damaged=self.journal.damaged)
 
     def _known(self) -> None:
-        event = self.directory.take(self.s.known, cached=True)  # None where the platform knows none
-        if event is not None:
-            self._listed(event)
+        with contextlib.suppress(NoList):  # the platform knows none
+            self._listed(self.directory.take(self.s.known, cached=True))
 
     def _resume(self, kept: dict[int, Kept]) -> None:
         """What an earlier process left: messages go to the module, notices to the platform."""
