A 200 that crosses the end of its message's time no longer leaves it without an end

Now a call is given up MARGIN_MS before the message's time, as messages are that were never sent; an event that waits for its turn ages; a 200 that is read once the time is up proves no more than a time-out.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -618,7 +618,9 @@
         return best
 
     def _send(self, now: float, held: Held, door: Door, acts: list[Action]) -> None:
-        lane, until = door.lane, held.due
+        # Given up before the message's time is up: an answer that crosses that moment may count or not, and an end
+        # that is owed would come late.
+        lane, until = door.lane, held.due - MARGIN_MS
         # Guards quick destinations: a stall of some ms is no outcome. No sooner than another try could begin.
         patience = max(RETRY_MS, lane.mean + DEVIATIONS * lane.dev) * lane.stretch
         last = held.tries + 1 >= self.s.attempts or held.cls.effect is Effect.UNSAFE
@@ -626,7 +628,7 @@
             risk = held.first_risk if held.first_risk is not None else now
             last = last or now + patience + RETRY_MS * 2**held.tries > risk + held.cls.key_window_ms
         if last or now + 2 * patience < held.due:
-            until = min(held.due, now + patience * (LAST if last else 1.0))
+            until = min(until, now + patience * (LAST if last else 1.0))
         # Guards messages that may not be repeated against a reset that leaves open whether they ran: where
         # closed connections were met, the last byte waits until one would have shown itself.
         hold = SUDDEN * lane.mean if held.cls.effect is Effect.UNSAFE and self.stale > STALE else 0.0
@@ -648,4 +650,5 @@
         for rider in riders:
             self.board.unqueue(rider)
             rider.out, rider.out_since, rider.tries = call, now, rider.tries + 1
-            acts.append(Send(rider.msg.id, door.entry.id, min(until, rider.due), hold, self._begin_by(rider)))
+            end = min(until, rider.due - MARGIN_MS)
+            acts.append(Send(rider.msg.id, door.entry.id, end, hold, self._begin_by(rider)))
--- a/linnetstile/decisions/evidence.py
+++ b/linnetstile/decisions/evidence.py
@@ -48,6 +48,7 @@
     retry_after_ms: float | None = None
     receipt: Receipt = Receipt.NOT_ASKED
     whole: bool = True  # the last byte of the request had left when the answer came
+    late: bool = False  # the message's time was up when the answer was read
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +107,8 @@
     first line whose rest is spoilt: 200 holds all the same, no other one does. `no_slot`: 503 told that all slots of
     this relay were taken."""
     if claimed == 200 or seen.sight is Sight.ANSWERED and seen.status == 200:
+        if seen.late:  # the platform may not count it, and then an end is owed
+            return Proof(Outcome.TIMEOUT, "200 once its time was up: may have run")
         return Proof(Outcome.OK, "200: delivered", True)
     if seen.sight is not Sight.ANSWERED:
         return SIGHTS[seen.sight]
--- a/linnetstile/net/turns.py
+++ b/linnetstile/net/turns.py
@@ -4,18 +4,32 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..decisions import interface as api
 from ..decisions.control import Relay
 
 
+def aged(event: api.Event, ms: float) -> api.Event:
+    """The same, told `ms` ago: what counts from the moment of telling is that much older. Guards deadlines: a start
+    tells of all that it found before the first of it has its turn."""
+    match event:
+        case api.Message():
+            return replace(event, left_ms=max(0.0, event.left_ms - ms))
+        case api.Resumed():
+            risk_ms = None if event.risk_ms is None else event.risk_ms + ms
+            message = replace(event.message, left_ms=max(0.0, event.message.left_ms - ms))
+            return replace(event, message=message, age_ms=event.age_ms + ms, risk_ms=risk_ms)
+    return event
+
+
 class Turns:
     """`tell` it events; `carry` gets each turn's events with the actions that are its host's to carry out."""
 
     def __init__(self, relay: Relay, carry: Callable[[list[api.Event], list[api.Action]], None]) -> None:
         self.relay, self.carry = relay, carry
         self.loop = asyncio.get_running_loop()
-        self.events: list[api.Event] = []  # since the last turn
+        self.events: list[tuple[float, api.Event]] = []  # since the last turn, and when they were told
         self.planned = self.closed = False
         self.timer: asyncio.TimerHandle | None = None
 
@@ -25,7 +39,7 @@
         return self.loop.time() * 1000
 
     def tell(self, event: api.Event) -> None:
-        self.events.append(event)
+        self.events.append((self.now, event))
         self.plan()
 
     def plan(self) -> None:
@@ -38,9 +52,10 @@
         self.planned = False
         if self.closed:
             return
-        events, self.events = self.events, []
+        now, told, self.events = self.now, self.events, []
+        events = [event if now == at else aged(event, now - at) for at, event in told]
         left: list[api.Action] = []
-        for action in self.relay.handle(self.now, events):
+        for action in self.relay.handle(now, events):
             match action:
                 case api.SetTimer(delay, token):
                     self.stop()
--- a/linnetstile/node/calls.py
+++ b/linnetstile/node/calls.py
@@ -46,23 +46,25 @@
                                 http1.Limits(body=BODY, head=HEAD), eager=True, most_idle=bounds.idle)
 
     def send(self, place: Place, fields: list[tuple[str, str]], body: bytes, left_ms: float, hold_ms: float,
-             begin_ms: float, done: Done) -> client.Call:
+             begin_ms: float, due_ms: float, done: Done) -> client.Call:
         """Begins one attempt that is given up after `left_ms`, its last byte held back for `hold_ms` and not
-        written after `begin_ms` from now; `done` is called once, and not from within."""
+        written after `begin_ms` from now; `done` is called once, and not from within. The message's time is up in
+        `due_ms`."""
         headers = [("Host", f"{place.host}:{place.port}"), ("X-Time-Left", f"{max(1, int(left_ms))}m"), *fields]
-        until = self.pool.loop.time() + max(0.0, left_ms) / 1000
+        now = self.pool.loop.time()
+        until, due = now + max(0.0, left_ms) / 1000, now + due_ms / 1000
 
         def ended(answer: client.Answer) -> None:
             head = answer.head
             seen = Seen(answer.sight, head.status if head else 0, wait_ms(head.headers) if head else None,
-                        whole=answer.whole)
+                        whole=answer.whole, late=self.pool.loop.time() >= due)
             no_slot = head is not None and head.headers.get("slots-taken") == "1"
             done(endpoint_proof(seen, answer.claimed, no_slot), report(head.headers, self.names) if head else (),
                  answer.reused)
 
         return self.pool.call((place.host, place.port, place.number), "POST",
                               http1.request_parts("POST", "/events", headers, body), ended, until,
-                              hold_s=hold_ms / 1000, begin_by=self.pool.loop.time() + begin_ms / 1000)
+                              hold_s=hold_ms / 1000, begin_by=now + begin_ms / 1000)
 
     def close_idle(self, place: Place) -> None:
         self.pool.close_idle((place.host, place.port, place.number))
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -337,7 +337,8 @@
                 fields.append(("Idempotency-Key", carried.key))
             attempt.call = self.calls.send(
                 attempt.place, fields, carried.kept.body, send.give_up_at_ms - self.now, send.hold_ms,
-                send.begin_by_ms - self.now, partial(self._ended, send, carried, attempt))
+                send.begin_by_ms - self.now, carried.kept.fields["due"] - unix,
+                partial(self._ended, send, carried, attempt))
 
     def _ended(self, send: api.Send, carried: Carried, attempt: Attempt, proof: Proof,
                report: tuple[float, ...], reused: bool) -> None:
--- a/tests/decisions/test_platform.py
+++ b/tests/decisions/test_platform.py
@@ -24,6 +24,9 @@
     (Seen(Sight.GARBLED), 200, False, Outcome.OK, True),
     (Seen(Sight.TIMED_OUT), 200, False, Outcome.OK, True),
     (Seen(Sight.LOST), 200, False, Outcome.OK, True),
+    (Seen(Sight.ANSWERED, 200, late=True), 200, False, Outcome.TIMEOUT, False),  # its end is owed
+    (Seen(Sight.TIMED_OUT, late=True), 200, False, Outcome.TIMEOUT, False),
+    (Seen(Sight.ANSWERED, 503, late=True), 0, False, Outcome.FULL, False),
     (Seen(Sight.GARBLED), 503, False, Outcome.RESET, False),
     (Seen(Sight.ANSWERED, 500), 0, False, Outcome.ERROR, False),
     (Seen(Sight.ANSWERED, 429, 300.0), 0, False, Outcome.FULL, False),
