--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -618,8 +618,8 @@
         return best
 
     def _send(self, now: float, held: Held, door: Door, acts: list[Action]) -> None:
-        # Given up before the message's time is up: an answer that crosses that moment may count or not, and an end
-        # that is owed would come late.
+        # Given up before the message's time is up: an answer that crosses that moment may count or not, and
+        # an end that is owed would come late.
         lane, until = door.lane, held.due - MARGIN_MS
         # Guards quick destinations: a stall of some ms is no outcome. No sooner than another try could begin.
         patience = max(RETRY_MS, lane.mean + DEVIATIONS * lane.dev) * lane.stretch
