A request that crosses the close of its resting connection has its answer, up to the last moment

It listens on and refuses until 100 ms before the end (decisions/leaving.py). - a request half read at the end was cut off: it hears 503 first; the end waits 50 ms at most for bytes that have arrived and are not read. - SIGTERM during the start counted from the end of the start, up to 1 s late, and the kill came in the middle of serving. - `_release` of one call could have taken the held byte of the next (ruled out today, as such a connection is not kept).

--- a/linnetstile/net/client.py
+++ b/linnetstile/net/client.py
@@ -5,7 +5,6 @@
 import asyncio
 import errno
 import math
-import select
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -129,15 +128,10 @@
     def began_to_speak(self) -> bool:
         """The kernel holds bytes or the end of a connection on which nothing is out. Guards the next request against
         the rest of an answer that brought too much, and against a connection that its peer has closed."""
-        socket = self.transport.get_extra_info("socket")
-        if socket is None:
-            return False
-        poll = select.poll()
-        poll.register(socket.fileno(), select.POLLIN)  # type: ignore[attr-defined]
-        if not poll.poll(0):
-            return False
-        self.transport.abort()
-        return True
+        if self.speaks:
+            self.transport.abort()
+            return True
+        return False
 
     def send(self, call: Call, method: str, data: Data) -> bool:
         """False if not a byte left: the connection had died, or the first write met that it has, or it is too late."""
@@ -169,8 +163,8 @@
             call.abort(Sight.CUT)
 
     def _release(self, call: Call) -> None:
-        held, self.held = self.held, b""
-        if self.call is call and held:
+        if self.call is call and self.held:
+            held, self.held = self.held, b""
             self.put(held)
 
     def overdue(self, now: float) -> str:
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -364,6 +364,15 @@
             return phase if now - self.since > bounds.head_s else ""
         return "idle" if phase == "idle" and now - self.since > bounds.idle_s else ""
 
+    def refuse_begun(self, text: str) -> None:
+        """A request that has begun and is not complete; none if not a byte of it has come."""
+        if self.parser.idle and self.current is None or self.skipping:
+            return
+        if self.current is not None:
+            self.current.answered = True
+            self.server.release(self.current)
+        self._last_words(503, text)
+
     def let_go(self, why: str) -> None:
         """In the way that proves most: a request that is not complete is told that it never was taken."""
         if why in ("body_rate", "body_time", "head") and not self.parser.idle and not self.dead and not self.eof:
@@ -372,7 +381,8 @@
                 self.server.release(self.current)
             self._last_words(408, "too slow: nothing of this request was taken")
         elif why == "idle":
-            self._finish()
+            if not self.speaks:  # else its next request has arrived, and is read in a moment
+                self._finish()
         else:
             self.transport.abort()
 
@@ -424,8 +434,8 @@
             self._rank()
         while self.spare:
             host, other = self.spare.pop()
-            if other.dead or other.carries or other not in self.open:
-                continue
+            if other.dead or other.carries or other not in self.open or other.proven and other.speaks:
+                continue  # the last: its next request has arrived
             if self.hosts.get(conn.where, 0) > self.hosts.get(host, 0) + 1 and other.proven:
                 break  # it may not crowd out another host's
             self.count("let_go_full")
@@ -491,6 +501,16 @@
         for conn in [conn for conn in self.open if conn.phase == "idle" and not conn.dead]:
             conn.let_go("idle")
 
+    def refuse_begun(self, text: str) -> None:
+        """Whoever is in the middle of a request hears that it was not taken."""
+        for conn in [conn for conn in self.open if conn.phase in ("head", "body", "room") and not conn.dead]:
+            conn.refuse_begun(text)
+
+    @property
+    def unread(self) -> bool:
+        """Bytes of clients have arrived that nobody has read."""
+        return any(conn.speaks for conn in self.open if not conn.dead and conn.phase in ("idle", "head", "body"))
+
     def stop_listening(self) -> None:
         if self._server:
             self._server.close()
--- a/linnetstile/net/wire.py
+++ b/linnetstile/net/wire.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
+from asyncio.trsock import TransportSocket
+from socket import socket as Socket
 from typing import Protocol, cast
 
 from ..decisions.pace import Meter
@@ -131,6 +134,18 @@
     def dead(self) -> bool:
         return self.lost or self.transport.is_closing()
 
+    @property
+    def speaks(self) -> bool:
+        """The kernel holds bytes, or the end, of this connection that nobody has read. What is closed over unread bytes
+        is reset, and what was written before may go with it."""
+        socket = self.transport.get_extra_info("socket")
+        fd = socket.fileno() if isinstance(socket, (Socket, TransportSocket)) else -1
+        if fd < 0:
+            return False
+        poll = select.poll()
+        poll.register(fd, select.POLLIN)
+        return bool(poll.poll(0))
+
     def peer(self) -> str:
         name = self.transport.get_extra_info("peername")
         return f"{name[0]}:{name[1]}" if isinstance(name, tuple) else "?"
--- a/linnetstile/node/front.py
+++ b/linnetstile/node/front.py
@@ -147,11 +147,14 @@
             answer(exchange, 200, "healthy")
 
     def turn_away(self) -> None:
-        """Takes no new connections, and closes those that carry nothing; the others with their answer."""
-        if not self.closing:
-            self.closing = True
-            self.server.stop_listening()
+        """From now on refuses, and closes connections that carry nothing; the others with their answer."""
+        self.closing = True
         self.server.close_idle()
 
+    def deaf(self) -> None:
+        """Lets nobody in any more, and refuses requests that are not complete."""
+        self.server.stop_listening()
+        self.server.refuse_begun("refused: this relay ends")
+
     async def start(self, host: str, port: int) -> int:
         return await self.server.start(host, port)
--- a/linnetstile/node/process.py
+++ b/linnetstile/node/process.py
@@ -68,9 +68,13 @@
 
 async def run() -> int:
     loop = asyncio.get_running_loop()
-    pending: list[int] = []
+    pending: dict[int, float] = {}  # signals that come during the start, and when
+
+    def came(number: int) -> None:
+        pending.setdefault(number, loop.time())
+
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        loop.add_signal_handler(number, pending.append, number)
+        loop.add_signal_handler(number, came, number)
     try:
         settings = load(os.environ)
     except ConfigError as error:
@@ -90,8 +94,9 @@
     loop.add_signal_handler(signal.SIGHUP, reload, node)
     if signal.SIGHUP in pending:
         reload(node)
-    if signal.SIGTERM in pending or signal.SIGINT in pending:
-        node.leave()
+    told = [pending[number] for number in (signal.SIGTERM, signal.SIGINT) if number in pending]
+    if told:
+        node.leave(min(told))  # the platform's time to the kill counts from there
     gc.collect()
     gc.freeze()  # what a start made stays: collections look at what came since
     Stats(node)
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -367,26 +367,26 @@
         self.watch.move(discovery)
         self.finals.move(discovery)
 
-    def leave(self) -> None:
-        """SIGTERM: see decisions/leaving.py."""
+    def leave(self, since: float | None = None) -> None:
+        """SIGTERM, which came at the loop time `since`, now if not told: see decisions/leaving.py. A second one changes
+        nothing."""
         if self.left is None:
-            self.left = self.loop.time()
+            self.left = self.loop.time() if since is None else since
             self.log("leaving", held=len(self.carried))
-            self._tell(api.Leaving(leaving.END_MS))
+            self._tell(api.Leaving(max(0.0, leaving.END_MS - (self.loop.time() - self.left) * 1000)))
             self._leaving()
 
-    def _leave(self) -> leaving.Leave:
-        assert self.left is not None
-        return leaving.leave((self.loop.time() - self.left) * 1000)
-
     def _leaving(self) -> None:
-        now = self._leave()
+        assert self.left is not None
+        now = leaving.leave((self.loop.time() - self.left) * 1000, self.front.server.unread)
         if not now.takes:
             self.front.turn_away()
+        if not now.listens:
+            self.front.deaf()
         if now.ends:
             self.over.set()
             return
-        self.loop.call_later(0.05, self._leaving)
+        self.loop.call_later(0.05 if now.listens else 0.01, self._leaving)
 
     def close(self) -> None:
         """Ends every connection; what is owed is in the journal."""
--- a/tests/decisions/test_platform.py
+++ b/tests/decisions/test_platform.py
@@ -13,7 +13,7 @@
 from linnetstile.decisions.control import Relay
 from linnetstile.decisions.evidence import Seen, Sight, endpoint_proof
 from linnetstile.decisions.interface import Outcome
-from linnetstile.decisions.leaving import END_MS, LAST_MS, leave
+from linnetstile.decisions.leaving import DEAF_MS, END_MS, LAST_MS, SPARE_MS, leave
 from linnetstile.decisions.state import NEVER
 
 from ..conftest import CLASSES, KEYED, SAFE, UNSAFE, Driver, make_settings
@@ -122,6 +122,8 @@
 def test_leaving_serves_until_shortly_before_the_kill() -> None:
     assert leave(0).takes and leave(END_MS - LAST_MS - 1).takes
     assert not leave(END_MS - LAST_MS).takes and not leave(END_MS - 1).ends and leave(END_MS).ends
+    assert leave(END_MS - DEAF_MS - 1).listens and not leave(END_MS - DEAF_MS).listens
+    assert not leave(END_MS + SPARE_MS - 1, unread=True).ends and leave(END_MS + SPARE_MS, unread=True).ends
 
 
 def test_unsafe_message_that_would_be_out_at_the_end_waits_for_the_next_process() -> None:
