What a restart finds untried is tried: a class or tenant that is gone, a fuller hold, no room for a file

Read off the code and forced by tests/node/test_restart.py (17 tests, 6 fail on the program before): of twelve messages taken on and untried, each class three, - a class that the settings name no more ended "dead" with no call: it goes under the terms that promise least (decisions/leftover.py: out once, never again once it may have run); - an unknown tenant fell on the first one's number (harmless so far, as a resumed message charges no share): on nobody's; - `_make_room` gave back resumed ones for new ones where the hold is fuller than 0.85 of it: they are owed a try (`Held.found`); - a clock set back gave messages the hour on top: no more than they had is left; - a start on a disk with no room for a second file was refused: it goes on with the one that is there.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -204,7 +204,7 @@
         unclear outcome, and the gate of every send decides by effect, window, attempts and time left."""
         held = Held(event.message, self.s.classes[event.message.class_], now - event.age_ms,
                     now + event.message.left_ms, 0.0, now, now - event.age_ms, tries=event.tries,
-                    risk=event.risk)
+                    risk=event.risk, found=not event.tries)
         held.worth = held.cls.worth
         if event.risk_ms is not None:
             held.first_risk = now - event.risk_ms
@@ -312,7 +312,8 @@
         for _ in range(len(self.board.held) - int(CROWDED * self.s.hold)):
             queues = self.board.queues
             drained = {dest: now + 1000 * len(queues[dest]) / self._speed(now, dest) for dest in queues}
-            able = [each for queue in queues.values() for each in queue.values() if self._may_refuse(each)]
+            able = [each for queue in queues.values() for each in queue.values()
+                    if self._may_refuse(each) and (each.tries or not each.found)]
             if able:
                 self._end(now, min(able, key=lambda held: [
                     self._missed(held, now, at) for at in (drained[held.msg.destination], now)]), acts)
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -28,6 +28,7 @@
     first_risk: float | None = None  # send of the first attempt that may have run
     risk: Endpoint | None = None
     withdrawn: bool = False
+    found: bool = False  # by a restart, which owes it a try
 
     @property
     def key(self) -> int:
--- a/linnetstile/node/journal.py
+++ b/linnetstile/node/journal.py
@@ -158,8 +158,9 @@
         (self.folder / "journal.new").unlink(missing_ok=True)
         kept, self.damaged = replay(path.read_bytes()) if path.exists() else ({}, 0)
         self.rewrite(kept.values())
-        if self._file < 0:
-            raise OSError(f"{path}: {self.error}")
+        if self._file < 0:  # no room for another: this one goes on, and is rewritten as soon as there is
+            self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+            self.size = self.most + 1
         return kept
 
     def add(self, record: bytes) -> None:
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -9,7 +9,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from ..decisions import interface as api
@@ -17,6 +17,7 @@
 from ..decisions.bounds import REMEMBERED, SETTLE_S, bounds
 from ..decisions.control import Relay
 from ..decisions.evidence import Proof, Sight
+from ..decisions.leftover import leftover
 from ..net import client, server
 from ..net.turns import Turns
 from . import journal
@@ -79,7 +80,7 @@
         self.rng = random.Random(settings.seed)
         module = settings.module
         self.bounds = bounds(settings.limits.sockets, settings.limits.disk_mb * 1e6, module.slots)
-        self.relay = Relay(module, settings.seed)
+        self.relay = Relay(replace(module, classes=(*module.classes, leftover(module.classes))), settings.seed)
         self.directory = Directory(tuple(kind.name for kind in module.kinds), settings.zones)
         self.journal = Journal(settings.state, self.bounds.log)
         self.watch = Watch(self.directory, settings.discovery, self._listed, self.rng)
@@ -132,15 +133,14 @@
             carried = self.carried[ident] = Carried(each)
             self.idents[carried.ident] = True
             self.journal.live += self.journal.weight(each)
-            class_ = names.classes.get(fields["class"])
-            if class_ is None:  # the settings have changed: nobody could judge it
-                self._final(ident, {"ref": carried.ident, "result": "dead"})
-                continue
+            # The settings may have changed since: names go by what they are now, and what has none charges nobody.
+            class_ = names.classes.get(fields["class"], len(names.classes))
+            tenant = names.tenants.get(fields["tenant"], len(names.tenants))
             risk = each.risk or each.out  # what was out when the process ended may have run
             each.risk, each.out = risk, None
-            message = api.Message(
-                ident, fields["dest"], class_, max(0.0, fields["due"] - unix), names.tenants.get(fields["tenant"], 0),
-                carried.order)
+            # A clock that was set back gives no message more time than it had.
+            left = min(fields["due"] - unix, fields["due"] - fields["taken"])
+            message = api.Message(ident, fields["dest"], class_, max(0.0, left), tenant, carried.order)
             place = self.directory.places.get(self.directory.numbers.get(risk[2], 0)) if risk else None
             where = api.Endpoint(place.number if place else 0, fields["dest"], api.Listing.READY,
                                  zone=risk[1]) if risk else None
--- /dev/null
+++ b/tests/node/test_restart.py
@@ -0,0 +1,139 @@
+"""What a restart finds: all that was taken on and never tried is tried, whatever has changed meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.node import relay as node_relay
+
+from .test_relay import ids, idle, play
+from .world import CLASSES, RAW, World, ask, hand_in, until
+
+COUNT = 12
+
+
+def renamed(raw: dict[str, Any], part: str, name: str) -> dict[str, Any]:
+    return raw | {part: [{**each, "name": "new"} if each["name"] == name else each for each in raw[part]]}
+
+
+CHANGES: dict[str, dict[str, Any]] = {
+    "nothing": RAW,
+    "classes in another order": RAW | {"classes": CLASSES[::-1]},
+    "a class gone": renamed(RAW, "classes", "state"),
+    "all classes gone": RAW | {"classes": [{**CLASSES[1], "name": "other"}]},
+    "the tenant gone": renamed(RAW, "orgs", "acme"),
+    "no tenants": {key: value for key, value in RAW.items() if key != "orgs"},
+    "another zone": RAW | {"zones": ["y", "z"]},
+    "other kinds": RAW | {"kinds": ["j"]},
+    "fewer slots": RAW | {"extra": {"call-slots": 1}},
+    "a smaller hold": RAW | {"limits": RAW["limits"] | {"open-cap": 14}},
+}
+
+
+async def killed(world: World, state: Path) -> tuple[str, int]:
+    """A relay that took on messages of each class and tried none, killed; discovery's address."""
+    where = await world.discovery()
+    first = await world.node(where)
+    world.tell(world.watches[-1], [{**each, "state": "DRAINING"} for each in world.entries])
+    await until(lambda: not any(lane.doors for lanes in first.relay.lanes.values() for lane in lanes.values()))
+    for n in range(COUNT):
+        assert await ask(first, hand_in(f"m{n}", str(CLASSES[n % len(CLASSES)]["name"]), left="5500m")) == 202
+    world.state = state / "as killed"
+    shutil.copytree(state / "journal", world.state)
+    world.nodes.remove(first)
+    first.close()
+    assert not world.calls
+    return where
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_what_was_taken_on_and_never_tried_is_tried_after_a_restart(tmp_path: Path, change: str) -> None:
+    async def story(world: World) -> None:
+        where = await killed(world, tmp_path)
+        world.raw = CHANGES[change]
+        second = await world.node(where)
+        assert len(second.carried) == COUNT
+        await until(lambda: idle(second))
+        assert sorted(set(ids(world))) == sorted(f"m{n}" for n in range(COUNT)) and not world.notices
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("listed", ["later", "draining at first"])
+def test_destination_that_is_not_there_yet_is_waited_for(tmp_path: Path, listed: str) -> None:
+    async def story(world: World) -> None:
+        where = await killed(world, tmp_path)
+        entries = world.entries
+        world.entries = [] if listed == "later" else [{**each, "state": "DRAINING"} for each in entries]
+        second = await world.node(where)
+        assert len(second.carried) == COUNT and not world.calls
+        world.tell(world.watches[-1], entries)
+        await until(lambda: idle(second))
+        assert len(set(ids(world))) == COUNT and not world.notices
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("moved_ms", [-3_600_000.0, 0.0])
+def test_clock_that_was_set_back_gives_no_message_more_time_than_it_had(
+        tmp_path: Path, moved_ms: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        where = await killed(world, tmp_path)
+        unix = node_relay.unix_ms
+        monkeypatch.setattr(node_relay, "unix_ms", lambda: unix() + moved_ms)
+        world.entries = [{**each, "state": "DRAINING"} for each in world.entries]
+        second = await world.node(where)
+        await asyncio.sleep(0)
+        held = second.relay.board.held.values()
+        assert len(held) == COUNT and all(0 < each.due - second.turns.now <= 5500 for each in held)
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("risky", [True, False])
+def test_class_that_the_settings_name_no_more_is_tried_but_never_again_once_it_may_have_run(
+        tmp_path: Path, risky: bool) -> None:
+    async def story(world: World) -> None:
+        where = await world.discovery()
+        first = await world.node(where)
+        world.script[1] = [None if risky else b"HTTP/1.1 429 X\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"]
+        assert await ask(first, hand_in("m", "state")) == 202
+        await until(lambda: world.calls if risky else first.counts.get("ended_full"))
+        world.state = tmp_path / "as killed"
+        shutil.copytree(tmp_path / "journal", world.state)
+        world.nodes.remove(first)
+        first.close()
+        world.raw = renamed(RAW, "classes", "state")
+        second = await world.node(where)
+        assert await ask(second, hand_in("n", "")) == 400  # nobody can name that class
+        await until(lambda: idle(second))
+        assert ids(world) == (["m"] if risky else ["m", "m"])
+        assert world.notices == ([{"ref": "m", "result": "dead"}] if risky else [])
+
+    play(tmp_path, story)
+
+
+def test_relay_starts_on_what_there_is_where_the_disk_takes_no_new_file(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        where = await killed(world, tmp_path)
+        rename = os.rename
+
+        def full(*names: Any) -> None:
+            raise OSError(28, "No space left on device")
+
+        monkeypatch.setattr(os, "rename", full)
+        second = await world.node(where)
+        assert len(second.carried) == COUNT and second.journal.failed
+        monkeypatch.setattr(os, "rename", rename)
+        await until(lambda: idle(second))
+        assert len(set(ids(world))) == COUNT and not world.notices
+        assert second.journal.size <= second.journal.most  # rewritten as soon as there was room
+
+    play(tmp_path, story)
