--- a/linnetstile/node/process.py
+++ b/linnetstile/node/process.py
@@ -46,7 +46,7 @@
             calls=len(node.calls.pool.open), idle=node.calls.pool.resting, sick=sum(lane.sick for lane in lanes),
             journal=node.journal.size, memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss >> 10,
             since={k: v - self.before.get(k, 0) for k, v in counts.items() if v != self.before.get(k, 0)},
-            watch={"opened": node.watch.opened, "garbled": node.watch.garbled, "skipped": node.directory.skipped},
+            watch={"opened": node.watch.opened, "garbled": node.watch.spoilt, "skipped": node.directory.skipped},
             front=node.front.server.counts, pool=node.calls.pool.counts)
         self.cpu, self.before = cpu, counts
         self.due = node.loop.time() + STATS_S
@@ -68,9 +68,13 @@
 
 async def run() -> int:
     loop = asyncio.get_running_loop()
-    pending: list[int] = []
+    pending: dict[int, float] = {}  # signals that come during the start, and when
+
+    def came(number: int) -> None:
+        pending.setdefault(number, loop.time())
+
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        loop.add_signal_handler(number, pending.append, number)
+        loop.add_signal_handler(number, came, number)
     try:
         settings = load(os.environ)
     except ConfigError as error:
@@ -90,8 +94,9 @@
     loop.add_signal_handler(signal.SIGHUP, reload, node)
     if signal.SIGHUP in pending:
         reload(node)
-    if signal.SIGTERM in pending or signal.SIGINT in pending:
-        node.leave()
+    told = [pending[number] for number in (signal.SIGTERM, signal.SIGINT) if number in pending]
+    if told:
+        node.leave(min(told))  # the platform's time to the kill counts from there
     gc.collect()
     gc.freeze()  # what a start made stays: collections look at what came since
     Stats(node)
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import random
 import time
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from ..decisions import interface as api
@@ -16,12 +17,13 @@
 from ..decisions.bounds import REMEMBERED, SETTLE_S, bounds
 from ..decisions.control import Relay
 from ..decisions.evidence import Proof, Sight
+from ..decisions.leftover import leftover
 from ..net import client, server
 from ..net.turns import Turns
 from . import journal
 from .calls import Calls
 from .config import Address, NodeSettings
-from .discovery import Directory, Place, Watch
+from .discovery import Directory, NoList, Place, Watch
 from .finals import Finals
 from .front import Front, HandIn, answer
 from .journal import Journal, Kept
@@ -78,7 +80,7 @@
         self.rng = random.Random(settings.seed)
         module = settings.module
         self.bounds = bounds(settings.limits.sockets, settings.limits.disk_mb * 1e6, module.slots)
-        self.relay = Relay(module, settings.seed)
+        self.relay = Relay(replace(module, classes=(*module.classes, leftover(module.classes))), settings.seed)
         self.directory = Directory(tuple(kind.name for kind in module.kinds), settings.zones)
         self.journal = Journal(settings.state, self.bounds.log)
         self.watch = Watch(self.directory, settings.discovery, self._listed, self.rng)
@@ -115,9 +117,8 @@
                  resumed=len(self.carried), notices=len(self.owed), damaged=self.journal.damaged)
 
     def _known(self) -> None:
-        event = self.directory.take(self.s.known, cached=True)  # None where the platform knows none
-        if event is not None:
-            self._listed(event)
+        with contextlib.suppress(NoList):  # the platform knows none
+            self._listed(self.directory.take(self.s.known, cached=True))
 
     def _resume(self, kept: dict[int, Kept]) -> None:
         """What an earlier process left: messages go to the module, notices to the platform."""
@@ -132,15 +133,14 @@
             carried = self.carried[ident] = Carried(each)
             self.idents[carried.ident] = True
             self.journal.live += self.journal.weight(each)
-            class_ = names.classes.get(fields["class"])
-            if class_ is None:  # the settings have changed: nobody could judge it
-                self._final(ident, {"ref": carried.ident, "result": "dead"})
-                continue
+            # The settings may have changed since: names go by what they are now, and what has none charges nobody.
+            class_ = names.classes.get(fields["class"], len(names.classes))
+            tenant = names.tenants.get(fields["tenant"], len(names.tenants))
             risk = each.risk or each.out  # what was out when the process ended may have run
             each.risk, each.out = risk, None
-            message = api.Message(
-                ident, fields["dest"], class_, max(0.0, fields["due"] - unix), names.tenants.get(fields["tenant"], 0),
-                carried.order)
+            # A clock that was set back gives no message more time than it had.
+            left = min(fields["due"] - unix, fields["due"] - fields["taken"])
+            message = api.Message(ident, fields["dest"], class_, max(0.0, left), tenant, carried.order)
             place = self.directory.places.get(self.directory.numbers.get(risk[2], 0)) if risk else None
             where = api.Endpoint(place.number if place else 0, fields["dest"], api.Listing.READY,
                                  zone=risk[1]) if risk else None
@@ -337,7 +337,8 @@
                 fields.append(("Idempotency-Key", carried.key))
             attempt.call = self.calls.send(
                 attempt.place, fields, carried.kept.body, send.give_up_at_ms - self.now, send.hold_ms,
-                send.begin_by_ms - self.now, partial(self._ended, send, carried, attempt))
+                send.begin_by_ms - self.now, carried.kept.fields["due"] - unix,
+                partial(self._ended, send, carried, attempt))
 
     def _ended(self, send: api.Send, carried: Carried, attempt: Attempt, proof: Proof,
                report: tuple[float, ...], reused: bool) -> None:
@@ -366,26 +367,26 @@
         self.watch.move(discovery)
         self.finals.move(discovery)
 
-    def leave(self) -> None:
-        """SIGTERM: see decisions/leaving.py."""
+    def leave(self, since: float | None = None) -> None:
+        """SIGTERM, which came at the loop time `since`, now if not told: see decisions/leaving.py. A second one changes
+        nothing."""
         if self.left is None:
-            self.left = self.loop.time()
+            self.left = self.loop.time() if since is None else since
             self.log("leaving", held=len(self.carried))
-            self._tell(api.Leaving(leaving.END_MS))
+            self._tell(api.Leaving(max(0.0, leaving.END_MS - (self.loop.time() - self.left) * 1000)))
             self._leaving()
 
-    def _leave(self) -> leaving.Leave:
-        assert self.left is not None
-        return leaving.leave((self.loop.time() - self.left) * 1000)
-
     def _leaving(self) -> None:
-        now = self._leave()
+        assert self.left is not None
+        now = leaving.leave((self.loop.time() - self.left) * 1000, self.front.server.unread)
         if not now.takes:
             self.front.turn_away()
+        if not now.listens:
+            self.front.deaf()
         if now.ends:
             self.over.set()
             return
-        self.loop.call_later(0.05, self._leaving)
+        self.loop.call_later(0.05 if now.listens else 0.01, self._leaving)
 
     def close(self) -> None:
         """Ends every connection; what is owed is in the journal."""
