--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -350,7 +350,8 @@
          "aim-ms": rng.uniform(50, 3000), "deadline-ms": rng.uniform(3000, 30_000)} for n in range(rng.randint(1, 5))]
     for each in classes:
         optional: dict[str, Any] = {
-            "worth": rng.uniform(0, 9), "late-share": rng.random(), "window-ms": rng.uniform(500, 9000), "dedup-scope": rng.choice(["all", "zone", "cell"]), "by-arrival": rng.random() < 0.3}
+            "worth": rng.uniform(0, 9), "late-share": rng.random(), "window-ms": rng.uniform(500, 9000),
+            "dedup-scope": rng.choice(["all", "zone", "cell"]), "by-arrival": rng.random() < 0.3}
         each.update({key: value for key, value in optional.items() if rng.random() < 0.6})
     raw: dict[str, Any] = {"classes": classes, "kinds": ["k", name()][: rng.randint(1, 2)], "zones": ["z"],
                            "extra": {"call-slots": rng.randint(1, 9)}, "safety": {},
