--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -137,3 +137,23 @@
         assert second.journal.size <= second.journal.most  # rewritten as soon as there was room
 
     play(tmp_path, story)
+
+
+def test_identifier_that_ended_before_a_restart_is_a_new_one_after_it(tmp_path: Path) -> None:
+    """What it costs that ended identifiers are not kept: work that may run only once runs again for a client that
+    hands in the same identifier after the end and after a restart, which the platform's page rules out."""
+    async def story(world: World) -> None:
+        where = await world.discovery()
+        first = await world.node(where)
+        assert await ask(first, hand_in("m", "pay")) == 202
+        await until(lambda: idle(first))
+        assert await ask(first, hand_in("m", "pay")) == 409
+        first.close()
+        world.nodes.remove(first)
+        second = await world.node(where)
+        assert await ask(second, hand_in("m", "pay")) == 202
+        await until(lambda: idle(second))
+        assert ids(world) == ["m", "m"]
+        assert await ask(second, hand_in("m", "pay")) == 409
+
+    play(tmp_path, story)
