Read once more: one way to say that a request was never taken, and no look that nobody needs

Behaviour as before. - `Connection.refuse_begun` had written again what `let_go` does for slow requests: `_never_taken` serves both. - from SIGTERM on each tick polled every connection for unread bytes, which counts in the last moment alone: asked only then. - `Watch.why` was set and never read: gone, with the method that set it. - `Objects` copied its buffer to strip what stands before each value: it is searched instead. - tests: `World.kill` and `World.end` for the restart that stood six times, three of them in the change; one list of clients.

--- a/linnetstile/codec/objects.py
+++ b/linnetstile/codec/objects.py
@@ -6,7 +6,7 @@
 import re
 from typing import Any, NoReturn
 
-BLANK = b" \t\r\n"
+VISIBLE = re.compile(rb"[^ \t\r\n]")
 OUTSIDE = re.compile(rb'["{}\[\]]')
 INSIDE = re.compile(rb'["\\\x00-\x1f]')
 DEEPEST = 32  # levels: a list of endpoints has three
@@ -56,10 +56,10 @@
     def _end(self) -> int | None:
         """Where the value that the buffer begins with ends; None while that has not come."""
         if not self._depth:
-            blank = len(self._buf) - len(self._buf.lstrip(BLANK))
-            del self._buf[:blank]
-            if self._buf and self._buf[0] not in b"{[":
+            first = VISIBLE.search(self._buf)
+            if first and first[0] not in b"{[":
                 raise ValueError("neither an object nor an array")
+            del self._buf[: first.start() if first else len(self._buf)]
         while found := (INSIDE if self._quoted else OUTSIDE).search(self._buf, self._at):
             sign = found[0]
             self._at = found.end()
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -368,18 +368,19 @@
         """A request that has begun and is not complete; none if not a byte of it has come."""
         if self.parser.idle and self.current is None or self.skipping:
             return
-        if self.current is not None:
+        self._never_taken(503, text)
+
+    def _never_taken(self, status: int, text: str) -> None:
+        """Last words to a request that is not complete."""
+        if self.current is not None and not self.current.answered:
             self.current.answered = True
             self.server.release(self.current)
-        self._last_words(503, text)
+        self._last_words(status, text)
 
     def let_go(self, why: str) -> None:
         """In the way that proves most: a request that is not complete is told that it never was taken."""
         if why in ("body_rate", "body_time", "head") and not self.parser.idle and not self.dead and not self.eof:
-            if self.current is not None and not self.current.answered:
-                self.current.answered = True
-                self.server.release(self.current)
-            self._last_words(408, "too slow: nothing of this request was taken")
+            self._never_taken(408, "too slow: nothing of this request was taken")
         elif why == "idle":
             if not self.speaks:  # else its next request has arrived, and is read in a moment
                 self._finish()
--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -138,8 +138,8 @@
             self._take(self.parser.feed(data))
             if self.parser.failed:
                 raise self.parser.failed
-        except (http1.ProtocolError, ValueError) as error:
-            self.watch.garbled(error)
+        except (http1.ProtocolError, ValueError):
+            self.watch.spoilt += 1
             self.sound = False
             self.end()
         part = self.parser.midway or self.objects.part
@@ -185,7 +185,6 @@
         self.first = asyncio.Event()  # something was heard
         self.fails = 0
         self.opened = self.spoilt = 0
-        self.why = ""  # of the latest that was spoilt
 
     def start(self) -> None:
         self.task = self.loop.create_task(self._keep())
@@ -203,10 +202,6 @@
             self.stream.end()
         self.stream = None
 
-    def garbled(self, error: Exception) -> None:
-        self.spoilt += 1
-        self.why = str(error)
-
     def told(self, stream: _Stream, told: object) -> None:
         """Raises NoList."""
         if stream is not self.stream:
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -378,7 +378,8 @@
 
     def _leaving(self) -> None:
         assert self.left is not None
-        now = leaving.leave((self.loop.time() - self.left) * 1000, self.front.server.unread)
+        since = (self.loop.time() - self.left) * 1000
+        now = leaving.leave(since, since >= leaving.END_MS and self.front.server.unread)  # a look at each connection
         if not now.takes:
             self.front.turn_away()
         if not now.listens:
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -90,15 +90,14 @@
 def test_request_that_arrives_as_its_resting_connection_is_closed_has_its_answer(tmp_path: Path, why: str) -> None:
     async def story(world: World) -> None:
         node = await world.node(sockets=64)
-        reader, writer = await resting(node)
-        others = [await resting(node, f"o{n}") for n in range(node.bounds.clients - 1)] if "place" in why else []
-        for n, (_, each) in enumerate([(reader, writer), *others]):
-            each.write(hand_in(f"next{n}"))
+        clients = [await resting(node, f"m{n}") for n in range(node.bounds.clients if "place" in why else 1)]
+        for n, (_, writer) in enumerate(clients):
+            writer.write(hand_in(f"next{n}"))
         CLOSES[why](node)
-        told = [await status(each) for each, _ in [(reader, writer), *others]]
-        assert told == ([503] if "end" in why else [202] * (1 + len(others)))
-        for _, each in [(reader, writer), *others]:
-            each.close()
+        told = [await status(reader) for reader, _ in clients]
+        assert told == ([503] if "end" in why else [202] * len(clients))
+        for _, writer in clients:
+            writer.close()
 
     play(tmp_path, story)
 
@@ -376,8 +375,7 @@
         for each in classes:
             again = hand_in("r" + each["name"], each["name"], X_Account=account, Idempotency_Key="r")
             assert await ask(first, again) == 202
-        first.close()
-        world.nodes.remove(first)
+        world.end(first)
         second = await world.node(where)
         assert len(second.carried) == len(classes)
         await until(lambda: idle(second))
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -193,10 +193,7 @@
         world.script[1] = [None]
         assert await ask(first, hand_in("m", class_)) == 202
         await until(lambda: world.calls)
-        world.state = tmp_path / "as killed"
-        shutil.copytree(tmp_path / "journal", world.state)
-        world.nodes.remove(first)
-        first.close()
+        world.kill(first, tmp_path / "as killed")
         second = await world.node(where)
         assert await ask(second, hand_in("m", class_)) == 409
         await until(lambda: not second.carried and not second.owed)
@@ -275,8 +272,7 @@
         world.script[1] = [b"garbage\r\n\r\n"]
         assert await ask(node, hand_in("q", "pay")) == 202
         await until(lambda: node.finals.fails > 1)
-        node.close()
-        world.nodes.remove(node)
+        world.end(node)
         later = await world.node(where)
         assert list(later.owed) and not world.notices
         world.notice_status = [204]
@@ -498,10 +494,7 @@
         await until(lambda: node.behind and not node.finals.posting)
         await asyncio.sleep(0.1)
         assert ids(world) == ["a1"] and not world.notices
-        world.state = tmp_path / "as killed"
-        shutil.copytree(tmp_path / "journal", world.state)
-        node.close()
-        world.nodes.remove(node)
+        world.kill(node, tmp_path / "as killed")
         again = await world.node(where)  # the notice is owed still, and what waits for it waits on
         await until(lambda: again.behind)
         assert ids(world) == ["a1"]
--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import shutil
 from pathlib import Path
 from typing import Any
 
@@ -44,10 +43,7 @@
     await until(lambda: not any(lane.doors for lanes in first.relay.lanes.values() for lane in lanes.values()))
     for n in range(COUNT):
         assert await ask(first, hand_in(f"m{n}", str(CLASSES[n % len(CLASSES)]["name"]), left="5500m")) == 202
-    world.state = state / "as killed"
-    shutil.copytree(state / "journal", world.state)
-    world.nodes.remove(first)
-    first.close()
+    world.kill(first, state / "as killed")
     assert not world.calls
     return where
 
@@ -105,10 +101,7 @@
         world.script[1] = [None if risky else b"HTTP/1.1 429 X\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"]
         assert await ask(first, hand_in("m", "state")) == 202
         await until(lambda: world.calls if risky else first.counts.get("ended_full"))
-        world.state = tmp_path / "as killed"
-        shutil.copytree(tmp_path / "journal", world.state)
-        world.nodes.remove(first)
-        first.close()
+        world.kill(first, tmp_path / "as killed")
         world.raw = renamed(RAW, "classes", "state")
         second = await world.node(where)
         assert await ask(second, hand_in("n", "")) == 400  # nobody can name that class
@@ -148,8 +141,7 @@
         assert await ask(first, hand_in("m", "pay")) == 202
         await until(lambda: idle(first))
         assert await ask(first, hand_in("m", "pay")) == 409
-        first.close()
-        world.nodes.remove(first)
+        world.end(first)
         second = await world.node(where)
         assert await ask(second, hand_in("m", "pay")) == 202
         await until(lambda: idle(second))
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import shutil
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -121,6 +122,17 @@
         self.nodes.append(node)
         return node
 
+    def end(self, node: Node) -> None:
+        """It ends by itself, and its folder is there for the next one."""
+        self.nodes.remove(node)
+        node.close()
+
+    def kill(self, node: Node, folder: Path) -> None:
+        """Its folder as it is now is there for the next one, as `folder`: what it does in closing is not."""
+        shutil.copytree(self.state, folder)
+        self.state = folder
+        self.end(node)
+
     def close(self) -> None:
         for node in self.nodes:
             node.close()
