A destination has lanes while it is in use; at rest it costs a row of an index

Need: the module kept a lane and a door for each endpoint there is (some 1,000 bytes), looked at all of them for each endpoint that drained or left (_drop), and at all queues twice in each turn (look_at): 120,000 destinations do not fit into 32 MB, and one change cost 86 ms.

Change: state.Index has the endpoints in columns, by id and destination (chains.py). destinations.py makes the lanes of a destination when a message, a learned fact or a change needs them, and lays those used longest ago to rest beyond 2,048. resting.py says what a rule needs over rest (told wait, outage, return, limit met, time in which a replaced endpoint counts as cold) and keeps it in one record. Queues to be looked at are a heap. A recall looks at the calls of the endpoint instead of all that is held.

Tests that looked at lanes and doors of all endpoints look at the index, which is what they meant; the six rules are played once more with every lane laid to rest as soon as it may. Taking any of six lines of resting.py and destinations.py back fails one test at least.

--- a/linnetstile/decisions/chains.py
+++ b/linnetstile/decisions/chains.py
@@ -1,8 +1,9 @@
 """A hash table of row numbers in two arrays: eight bytes a row, and it never grows in one go. No I/O, no clock.
 
-For indexes over all there is, whose rows are kept in arrays elsewhere: a dict of 120,000 whole numbers takes some 13 MB,
-this 1 MB. Linear hashing (Litwin 1980): with each row that is added one chain is split, so that no step costs more than
-a few rows, however many there are. Guards a relay's clients from waiting while a table of all endpoints is made anew."""
+For indexes over all there is, whose rows are kept in arrays elsewhere: a dict of 120,000 whole numbers takes some 13
+MB, this 1 MB. Linear hashing (Litwin 1980): with each row that is added one chain is split, so that no step costs more
+than a few rows, however many there are. Guards a relay's clients from waiting while a table of all endpoints is made
+anew."""
 
 from __future__ import annotations
 
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -1,6 +1,7 @@
 """Every decision of a relay. Vocabulary: decisions/interface.py; memory: decisions/state.py.
 
-Messages for a destination wait in its queue; what was seen of it is in its `Lane` (one a route, if apart)."""
+Messages for a destination wait in its queue; what was seen of it is in its `Lane` (one a route, if apart), which
+it has while it is in use: destinations.py, and resting.py for what is kept of it beyond."""
 
 from __future__ import annotations
 
@@ -9,9 +10,10 @@
 from collections import defaultdict
 
 from .connections import Places
+from .destinations import Destinations
 from .interface import (
-    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Leaving, Listing,
-    ListKind, Message, Outcome, Rates, Recall, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared,
+    Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Leaving, ListKind,
+    Message, Outcome, Rates, Recall, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared,
     TimerFired, WatchList, Withdrawn,
 )
 from .state import NEVER, Board, Call, Door, Flow, Held, Lane
@@ -68,8 +70,8 @@
         self.rng = random.Random(seed)
         self.board = Board()
         self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
-        self.lanes: dict[int, dict[int, Lane]] = {}  # destination -> its lanes
-        self.doors: dict[int, Door] = {}
+        self.destinations = Destinations(settings, FADE_MS, self.board.queues, self._attach)
+        self.lanes, self.doors = self.destinations.lanes, self.destinations.doors  # of the destinations in use
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
         self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
@@ -106,7 +108,7 @@
                     self._learn(now_ms, event, acts)
                 case Shared():
                     for dest, route in event.lanes:
-                        if lane := self.lanes.get(dest, {}).get(route):
+                        if lane := self.destinations.open(now_ms, dest).get(route):
                             lane.told_on += 1
                 case TimerFired():
                     self.timer_at = 0.0
@@ -117,8 +119,9 @@
         self._dispatch(now_ms, acts)
         self._close_spare(acts)
         self._make_room(acts, now_ms)
-        wakes = [at for at in self.board.look_at.values() if at > now_ms] + [end[0] for end in self.ends[:1]]
-        wake = min(wakes + ([self.ask_at] if self.ask_at is not None else []), default=None)
+        self.destinations.lay_to_rest(now_ms, len(events))
+        wakes = (self.board.next_look(now_ms), self.ends[0][0] if self.ends else None, self.ask_at)
+        wake = min((at for at in wakes if at is not None), default=None)
         if wake is not None and (self.timer_at <= now_ms or wake < self.timer_at):
             self.timer_at = max(wake, now_ms + self.s.tick_ms)
             acts.append(SetTimer(self.timer_at - now_ms, 0))
@@ -134,54 +137,29 @@
             return
         if event.kind is not ListKind.CACHED:
             self.ask_fails, self.ask_at = 0, None
-        ready = {entry.id: entry for entry in event.entries if entry.listing is Listing.READY}
-        named = {entry.id for entry in event.entries} if event.kind is ListKind.CHANGES else set(self.doors)
-        gone = [self.doors[ident] for ident in sorted(named & set(self.doors)) if ident not in ready
-                or self._lane_key(ready[ident]) != self._lane_key(self.doors[ident].entry)]
-        self._recall(acts, {door.entry.id for door in gone})
-        self._drop(now, gone)
-        for entry in ready.values():
-            self._add(now, entry)
-
-    def _drop(self, now: float, gone: list[Door]) -> None:
-        """Nothing new goes to endpoints that drain or are gone; a lane goes with its last trace."""
-        if not gone:
-            return
-        for door in gone:
-            del self.doors[door.entry.id], door.lane.doors[door.entry.id]
-            if not door.lane.doors and door.lane.bad_since is None:
-                door.lane.bad_since = now
-        spared = {door.entry.destination for door in gone} | self.board.queues.keys()
-        for dest in [d for d in self.lanes if d not in spared]:
-            kept = {k: lane for k, lane in self.lanes[dest].items() if lane.doors or lane.out
-                    or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS)}
-            self.lanes[dest] = kept
-        self.lanes = {dest: lanes for dest, lanes in self.lanes.items() if lanes}
-
-    def _add(self, now: float, entry: Endpoint) -> None:
-        dest, key = self._lane_key(entry)
+        self._recall(acts, self.destinations.listed(now, event))
+
+    def _attach(self, now: float, entry: Endpoint, listed: bool) -> None:
+        """Puts an endpoint into its lane: it was listed just now, or its destination comes into use."""
+        dest, key = self.destinations.key(entry)
         lanes = self.lanes.setdefault(dest, {})
-        listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
+        rate = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
-            total = listed or START * self.s.relays
+            total = rate or START * self.s.relays
             room = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
             lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, room, entry.kind,
-                              self.rng.random(), told=listed > 0)
+                              self.rng.random(), told=rate > 0)
         lane, door = lanes[key], self.doors.get(entry.id)
-        if listed and listed != lane.total:
-            lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
+        if listed and rate and rate != lane.total:
+            lane.pace, lane.total = lane.pace * rate / lane.total, rate  # keeps what was learned
         if door is None:
-            if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
+            if listed and not lane.doors and lane.bad_since is not None:  # replaced late: the new one is cold
                 self._cold(now, lane)
             self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane, lot=self.rng.random())
             self.board.look(dest)
         else:
             door.entry = entry
 
-    def _lane_key(self, entry: Endpoint) -> tuple[int, int]:
-        apart = entry.kind < len(self.s.kinds) and self.s.kinds[entry.kind].routes_apart
-        return entry.destination, entry.id if apart else -1
-
     # -- message life ------------------------------------------------------------------------------------
 
     def _accept(self, now: float, msg: Message) -> None:
@@ -196,8 +174,7 @@
             left = min(2 * quota, left + quota * (now - at) / 1000)
             held.worth *= 1.0 if left >= 1 else self.s.over_share_worth
             self.shares[msg.tenant] = left - (left >= 1), now
-        self.board.add(held)
-        self._wait(held)
+        self._hold(now, held)
 
     def _resume(self, now: float, event: Resumed) -> None:
         """What was taken on before a restart goes on as if there had been none: a call that was out has an
@@ -210,6 +187,10 @@
             held.first_risk = now - event.risk_ms
         if event.tries:  # jittered: all that was out then would come at once
             held.ready = now + RETRY_MS * self.rng.uniform(0.0, 1.0)
+        self._hold(now, held)
+
+    def _hold(self, now: float, held: Held) -> None:
+        self.destinations.open(now, held.msg.destination)
         self.board.add(held)
         self._wait(held)
 
@@ -289,10 +270,10 @@
         stay = max(told - now, queued) * self.rng.uniform(1.0, 1.5)
         return max(0.0, min(stay, self.s.longest_advice_ms, due - now - MARGIN_MS))
 
-    def _recall(self, acts: list[Action], endpoints: set[int]) -> None:
+    def _recall(self, acts: list[Action], doors: list[Door]) -> None:
         """The gate is shut: what was sent to these in its eyes may wait for its connection still."""
-        acts += [Recall(ident) for ident, held in self.board.held.items()
-                 if held.out is not None and held.out.door.entry.id in endpoints]
+        acts += [Recall(held.msg.id) for door in doors for call in door.lane.out if call.door is door
+                 for held in call.riders if held.out is call]
 
     def _withdraw(self, ident: int) -> None:
         if held := self.board.held.get(ident):
@@ -418,7 +399,7 @@
     def _told(self, now: float, lane: Lane, dest: int, until: float, acts: list[Action]) -> None:
         """A wait was told, to many relays at once: the growing, jittered pause comes after it."""
         lane.wait_until = max(lane.wait_until, until)
-        self._recall(acts, set(lane.doors))
+        self._recall(acts, list(lane.doors.values()))
         for other in self.board.queues.get(dest, {}).values():
             if self._last(other) == NEVER:  # the wait outlasts it
                 heapq.heappush(self.ends, (now, other.msg.id))
@@ -471,7 +452,7 @@
         for kind, part in event.few:
             self.blocked.setdefault(kind, part)
         for fact in event.facts:
-            lane = self.lanes.get(fact.destination, {}).get(fact.route)
+            lane = self.destinations.open(now, fact.destination).get(fact.route)
             if lane is None:
                 continue
             if fact.wait_ms > 0:
@@ -501,7 +482,7 @@
         times the relays. Over all relays that adds up to what it was seen to do, however uneven they are.
         Guards the cold budget; it stays as it was while the destination is out or cold."""
         if now >= lane.cold_since + self.s.safety.cold_ms:
-            usual = max(1.0, self.flow.count(now, FADE_MS)) / len(self.lanes)
+            usual = max(1.0, self.flow.count(now, FADE_MS)) / max(1, self.destinations.index.destinations)
             seen = (lane.flow.count(now, FADE_MS) + 1) / (1 + 1 / usual)
             lane.total = self.s.relays * seen * 1000 / FADE_MS
 
@@ -564,7 +545,7 @@
     def _dispatch(self, now: float, acts: list[Action]) -> None:
         """Sends what has most worth per slot time while there are slots; reads only queues that are due."""
         picks: dict[int, tuple[float, Held, Door]] = {}
-        due = [dest for dest, at in self.board.look_at.items() if at <= now]
+        due = self.board.due(now) if self.busy < self.s.slots else []
         while self.busy < self.s.slots:
             found = {dest: self._pick(now, dest) for dest in due if dest in self.board.queues}
             picks.update({dest: choice for dest, choice in found.items() if choice is not None})
@@ -581,7 +562,7 @@
     def _yields(self, now: float, lane: Lane) -> bool:
         """Slots weighed by time: of the last quarter, those that crawl hold an eighth of all at most.
         Guards quick ones, however many crawl."""
-        scarce = len(self.lanes) > 1 and self.s.slots - self.busy <= self.s.slots // 4
+        scarce = self.destinations.index.destinations > 1 and self.s.slots - self.busy <= self.s.slots // 4
         if not scarce or not self._crawls(now, lane):
             return False
         lanes = [other for lanes in self.lanes.values() for other in lanes.values() if other.out]
@@ -615,7 +596,7 @@
                 if best is None or value > best[0]:
                     door = self._door(now, held, lane)
                     best = best if door is None else (value, held, door)
-        self.board.look_at[dest] = look if best is None else 0.0
+        self.board.look(dest, look if best is None else 0.0)
         return best
 
     def _send(self, now: float, held: Held, door: Door, acts: list[Action]) -> None:
@@ -643,7 +624,7 @@
             queue = self.board.queues[held.msg.destination].values()
             riders += [other for other in queue if other is not held and self._may_send(now, other, door)
                        and (trusted or other.cls.effect is not Effect.UNSAFE)][: lane.room - 1]
-        call = Call(door, now, len(riders))
+        call = Call(door, now, riders, len(riders))
         lane.out.append(call)
         door.out += 1
         lane.credit -= 1
--- a/linnetstile/decisions/recall.py
+++ b/linnetstile/decisions/recall.py
@@ -13,14 +13,14 @@
     return None if at == NEVER else max(0.0, now - at)
 
 
-def claim(relay: Relay, now: float, partner: str, route: int, lane: Lane) -> Claim | None:
+def claim(relay: Relay, now: float, partner: str, route: int, lane: Lane, ends: tuple[int, ...]) -> Claim | None:
     """Own evidence only: what was learned from others is not passed on, or a rumour would outlive its cause."""
     if lane.hearsay or lane.last_ok == NEVER and lane.failed_at == NEVER and lane.wait_until <= now:
         return None
     back = _age(now, lane.cold_since)
     cold = back is not None and back < relay.s.safety.cold_ms
     return Claim(
-        partner, route, tuple(sorted(lane.doors)), _age(now, lane.last_ok), _age(now, lane.failed_at),
+        partner, route, ends, _age(now, lane.last_ok), _age(now, lane.failed_at),
         _age(now, lane.bad_since) if lane.sick and lane.bad_since is not None else None,
         back if cold and not lane.sick else None, max(0.0, lane.wait_until - now) if lane.wait_until > now else 0.0,
         lane.mean, lane.dev, lane.answers, relay._knowers(now, lane) if lane.sick else lane.knowers,
@@ -34,20 +34,25 @@
 
 
 def claims(relay: Relay, now: float, names: Mapping[int, str]) -> list[Claim]:
-    """All claims of a relay; `names` gives the partner's name by its number."""
-    found = (claim(relay, now, names[dest], route, lane) for dest, lanes in sorted(relay.lanes.items())
-             for route, lane in sorted(lanes.items()) if dest in names)
+    """All claims of a relay, of destinations in use and at rest; `names` gives the partner's name by its number."""
+    found = (claim(relay, now, names[dest], route, lane, ends)
+             for dest in sorted(relay.destinations.lanes.keys() | relay.destinations.rests.keys()) if dest in names
+             for route, (lane, ends) in sorted(relay.destinations.known(dest).items()))
     return [each for each in found if each is not None]
 
 
 def lanes(relay: Relay, names: Mapping[int, str]) -> tuple[dict[tuple[str, int], set[int]], set[tuple[str, int]]]:
-    """The lanes that exist, with their endpoints, and those that this relay has evidence of itself."""
+    """The lanes that there are or would be, with their endpoints, and those that this relay has evidence of itself."""
     ends: dict[tuple[str, int], set[int]] = {}
     seen: set[tuple[str, int]] = set()
-    for dest, routes in relay.lanes.items():
-        for route, lane in routes.items():
-            if dest in names and lane.doors:
-                ends[names[dest], route] = set(lane.doors)
-                if lane.last_ok != NEVER or lane.failed_at != NEVER and not lane.hearsay:
-                    seen.add((names[dest], route))
-    return ends, seen
+    for ident in relay.destinations.index:
+        entry = relay.destinations.index.get(ident)
+        assert entry is not None
+        dest, route = relay.destinations.key(entry)
+        if dest in names:
+            ends.setdefault((names[dest], route), set()).add(ident)
+    for dest in relay.destinations.lanes.keys() | relay.destinations.rests.keys():
+        for route, (lane, _) in relay.destinations.known(dest).items() if dest in names else ():
+            if lane.last_ok != NEVER or lane.failed_at != NEVER and not lane.hearsay:
+                seen.add((names[dest], route))
+    return ends, seen & ends.keys()
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import heapq
 import math
+from array import array
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from .interface import Decay, Endpoint, Message, MessageClass
+from .chains import Chains, spread
+from .interface import Decay, Endpoint, Listing, Message, MessageClass
 
 NEVER = float("-inf")
 
@@ -77,13 +81,14 @@
 
     door: Door
     since: float
-    open: int  # messages without an outcome
+    riders: list[Held]  # its messages
+    open: int  # those without an outcome
     judged: bool = False  # an outcome of it was counted
 
 
 @dataclass(slots=True)
 class Lane:
-    """One destination (or route apart): pace, health, latency."""
+    """One destination (or route apart) while it is in use: pace, health, latency."""
 
     mean: float
     dev: float
@@ -112,19 +117,97 @@
     missed: bool = False  # the latest failure was a connection that was not made
     bad_since: float | None = None  # send of the first call that failed since the last answer
     cold_since: float = NEVER
+    left_at: float = NEVER  # when its last endpoint left
     knowers: float = 1.0  # relays that may know of the latest outage
     told_on: float = 0.0  # relays that this one told of it, or that were told before it
     hearsay: bool = False  # out or cold by what others say, until it is called
     next_trickle: float = 0.0
 
 
+class Index:
+    """The endpoints that take new calls, by id and by destination: some 48 bytes each in columns, no object."""
+
+    def __init__(self) -> None:
+        self.ids, self.dests, self.kinds, self.zones = array("q"), array("q"), array("I"), array("I")
+        self.rates = array("d")
+        self.free: list[int] = []  # rows
+        self.by_id, self.by_dest = Chains(self._id_hash), Chains(self._dest_hash)
+        self.destinations = 0  # that have an endpoint
+
+    def __len__(self) -> int:
+        return self.by_id.rows
+
+    def __iter__(self) -> Iterator[int]:
+        """The ids."""
+        free = set(self.free)
+        return (ident for row, ident in enumerate(self.ids) if row not in free)
+
+    def _id_hash(self, row: int) -> int:
+        return spread(self.ids[row])
+
+    def _dest_hash(self, row: int) -> int:
+        return spread(self.dests[row])
+
+    def _row(self, ident: int) -> int | None:
+        return next((row for row in self.by_id.find(spread(ident)) if self.ids[row] == ident), None)
+
+    def _rows(self, dest: int) -> list[int]:
+        return [row for row in self.by_dest.find(spread(dest)) if self.dests[row] == dest]
+
+    def _entry(self, row: int) -> Endpoint:
+        return Endpoint(self.ids[row], self.dests[row], Listing.READY, self.kinds[row], self.zones[row],
+                        self.rates[row])
+
+    def get(self, ident: int) -> Endpoint | None:
+        row = self._row(ident)
+        return None if row is None else self._entry(row)
+
+    def at(self, dest: int) -> list[Endpoint]:
+        """The endpoints of a destination, in the order of their ids."""
+        rows = self._rows(dest)
+        if len(rows) > 1:
+            rows.sort(key=self.ids.__getitem__)
+        return [self._entry(row) for row in rows]
+
+    def put(self, entry: Endpoint) -> None:
+        """A new one, or what has changed of one."""
+        row = self._row(entry.id)
+        if row is not None and self.dests[row] != entry.destination:
+            self.pop(entry.id)
+            row = None
+        if row is None:
+            self.destinations += not self._rows(entry.destination)
+            if not self.free:
+                self.free.append(len(self.ids))
+                for column in (self.ids, self.dests, self.kinds, self.zones, self.rates):
+                    column.append(0)
+            row = self.free.pop()
+            self.ids[row], self.dests[row] = entry.id, entry.destination
+            self.by_id.add(row)
+            self.by_dest.add(row)
+        self.kinds[row], self.zones[row], self.rates[row] = entry.kind, entry.zone, entry.rate
+
+    def pop(self, ident: int) -> None:
+        """One that is in it."""
+        row = self._row(ident)
+        assert row is not None
+        self.by_id.remove(row)
+        self.by_dest.remove(row)
+        self.free.append(row)
+        self.destinations -= not self._rows(self.dests[row])
+
+
 class Board:
     """The messages held: by id, those that wait by destination, and those in order by key."""
 
     def __init__(self) -> None:
         self.held: dict[int, Held] = {}
         self.queues: dict[int, dict[int, Held]] = {}
-        self.look_at: dict[int, float] = {}  # destination -> when its queue is looked at again
+        self.look_at: dict[int, float] = {}  # destination -> when its queue is looked at again; 0 = as soon as may be
+        self.made: dict[int, int] = {}  # destination -> how many queues had been made before it
+        self.soon: set[int] = set()  # destinations to be looked at as soon as may be
+        self.alarms: list[tuple[float, int]] = []  # heap: looks to come, with such as no longer hold
+        self.queues_made = 0
         self.lines: dict[int, list[int]] = {}
 
     def add(self, held: Held) -> None:
@@ -133,15 +216,21 @@
             self.lines.setdefault(held.key, []).append(held.msg.id)
 
     def queue(self, held: Held) -> None:
-        self.queues.setdefault(held.msg.destination, {})[held.msg.id] = held
-        self.look_at[held.msg.destination] = 0.0
+        dest = held.msg.destination
+        if dest not in self.queues:
+            self.queues[dest], self.made[dest] = {}, self.queues_made
+            self.queues_made += 1
+        self.queues[dest][held.msg.id] = held
+        self.look(dest)
 
     def unqueue(self, held: Held) -> None:
-        queue = self.queues.get(held.msg.destination, {})
+        dest = held.msg.destination
+        queue = self.queues.get(dest, {})
         queue.pop(held.msg.id, None)
-        if not queue:
-            self.queues.pop(held.msg.destination, None)
-            self.look_at.pop(held.msg.destination, None)
+        if not queue and dest in self.queues:
+            del self.queues[dest], self.made[dest]
+            self.look_at.pop(dest, None)
+            self.soon.discard(dest)
 
     def remove(self, held: Held) -> None:
         del self.held[held.msg.id]
@@ -157,6 +246,34 @@
     def followed(self, held: Held) -> bool:
         return bool(held.key) and len(self.lines[held.key]) > 1
 
-    def look(self, dest: int) -> None:
-        if dest in self.queues:
-            self.look_at[dest] = 0.0
+    def look(self, dest: int, at: float = 0.0) -> None:
+        """Its queue, if it has one, is to be looked at then."""
+        if dest not in self.queues:
+            return
+        self.look_at[dest] = at
+        if at:
+            self.soon.discard(dest)
+            heapq.heappush(self.alarms, (at, dest))
+        else:
+            self.soon.add(dest)
+
+    def _advance(self, now: float) -> None:
+        """Looks whose time has come, and heads of the heap that no longer hold."""
+        while self.alarms:
+            at, dest = self.alarms[0]
+            holds = self.look_at.get(dest) == at
+            if holds and at > now:
+                return
+            heapq.heappop(self.alarms)
+            if holds:
+                self.soon.add(dest)
+
+    def due(self, now: float) -> list[int]:
+        """The destinations to be looked at, those first whose queue has stood longest. Costs what is due."""
+        self._advance(now)
+        return sorted(self.soon, key=self.made.__getitem__)
+
+    def next_look(self, now: float) -> float | None:
+        """When the next one will be due, of those that are not yet."""
+        self._advance(now)
+        return self.alarms[0][0] if self.alarms else None
--- a/tests/decisions/test_knowledge.py
+++ b/tests/decisions/test_knowledge.py
@@ -185,7 +185,7 @@
 
 
 def recall_knowers(d: Driver) -> float:
-    return d.relay._knowers(d.now, d.relay.lanes[1][-1])
+    return d.relay._knowers(d.now, d.relay.destinations.open(d.now, 1)[-1])
 
 
 def test_unsafe_messages_wait_where_others_say_out() -> None:
--- a/tests/decisions/test_platform.py
+++ b/tests/decisions/test_platform.py
@@ -184,4 +184,4 @@
     relays = [Relay(make_settings(relays=1024), 1) for _ in range(3)]
     whole = min(took(relay, 0.0, 0) for relay in relays)
     assert min(took(relay, 10.0, 512) for relay in relays) < 10 * whole
-    assert all(len(relay.doors) == 512 for relay in relays)
+    assert all(len(relay.destinations.index) == 512 for relay in relays)
--- a/tests/faults/test_knowledge.py
+++ b/tests/faults/test_knowledge.py
@@ -266,7 +266,7 @@
             fresh = await rig.relay(knowledge={"peers": [address, old_address]})
             await asked(fresh, 2)
             await asyncio.sleep(0.05)
-            assert not fresh.relay.lanes[0][-1].sick
+            assert not any(lane.sick for lane, _ in fresh.relay.destinations.known(0).values())
             reasons = {doubt.reason for doubt in fresh.knowledge.doubts}
             assert reasons == {"learned from endpoints that are not its own now", "says out, too long ago"}
             assert kind(await rig.hand(rig.make("unsafe"), 1)) == "delivered"
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -371,7 +371,7 @@
             assert await ask(first, hand_in(each["name"], each["name"], X_Account=account, Idempotency_Key="k")) == 202
         await until(lambda: idle(first))
         world.tell(world.watches[-1], [{**each, "state": "DRAINING"} for each in world.entries])
-        await until(lambda: not first.relay.doors)
+        await until(lambda: not len(first.relay.destinations.index))
         for each in classes:
             again = hand_in("r" + each["name"], each["name"], X_Account=account, Idempotency_Key="r")
             assert await ask(first, again) == 202
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -296,7 +296,7 @@
         await until(lambda: not node.carried)
         assert world.connections == 2
         world.tell(world.watches[-1], [{**old, "id": "s-new", "state": "DRAINING"}])
-        await until(lambda: not any(lane.doors for lanes in node.relay.lanes.values() for lane in lanes.values()))
+        await until(lambda: not len(node.relay.destinations.index))
 
     play(tmp_path, story)
 
@@ -314,7 +314,7 @@
         line = json.dumps({"version": 50, "full": False, "servers": [{**entry, "state": "DRAINING"}]}).encode()
         world.watches[-1].write(b"%x\r\n%s" % (len(line) + 1, line[:-9]))  # the rest never comes
         world.entries = [{**entry, "state": "DRAINING"}]
-        await until(lambda: not any(lane.doors for lanes in node.relay.lanes.values() for lane in lanes.values()), 2.0)
+        await until(lambda: not len(node.relay.destinations.index), 2.0)
 
     play(tmp_path, story)
 
@@ -424,13 +424,14 @@
                   for number in range(1023)]
         world.entries += others
         node = await world.node()
-        assert len(node.directory.places) == len(node.relay.doors) == 1024
+        assert len(node.directory.places) == len(node.relay.destinations.index) == 1024
         assert await ask(node, hand_in("a")) == 202
         await until(lambda: ids(world) == ["a"])
         world.tell(world.watches[-1], [{**entry, "state": "DELETED"} for entry in others[:512]])
-        await until(lambda: len(node.relay.doors) == 512)
+        await until(lambda: len(node.relay.destinations.index) == 512)
         world.tell(world.watches[-1], world.entries[:1], True)
-        await until(lambda: len(node.relay.doors) == len(node.directory.places) == len(node.directory.numbers) == 1)
+        await until(lambda: len(node.directory.places) == len(node.directory.numbers) == 1)
+        await until(lambda: len(node.relay.destinations.index) == 1)
         assert await ask(node, hand_in("b")) == 202
         await until(lambda: ids(world) == ["a", "b"])
 
--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -40,7 +40,7 @@
     where = await world.discovery()
     first = await world.node(where)
     world.tell(world.watches[-1], [{**each, "state": "DRAINING"} for each in world.entries])
-    await until(lambda: not any(lane.doors for lanes in first.relay.lanes.values() for lane in lanes.values()))
+    await until(lambda: not len(first.relay.destinations.index))
     for n in range(COUNT):
         assert await ask(first, hand_in(f"m{n}", str(CLASSES[n % len(CLASSES)]["name"]), left="5500m")) == 202
     world.kill(first, state / "as killed")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,11 +1,18 @@
-"""The six rules, by effect kind and outcome."""
+"""The six rules, by effect kind and outcome; with lanes kept as usual, and with each laid to rest as soon as it may."""
 
 import pytest
 
 from linnetstile.decisions import interface as api
+from linnetstile.decisions import resting
 
 from .conftest import CLASSES, KEYED, SAFE, UNCLEAR, UNSAFE, Driver, make_settings
 
+
+@pytest.fixture(autouse=True, params=[resting.IN_USE, 0], ids=["in use", "at rest"])
+def in_use(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(resting, "IN_USE", request.param)
+
+
 PROOFS = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 
 
