--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -651,8 +651,8 @@
     assert loop.asked[1][0] < 2.7
 
 def test_long_list_that_comes_slowly_is_waited_for_and_one_that_stops_is_not() -> None:
-    text = HEAD + listed(*MANY)
-    pieces = [text[at : at + 2000] for at in range(0, len(text), 2000)]
+    text = HEAD + listed(*(entry(f"s-{number}") for number in range(LONG)))
+    pieces = [text[at : at + 24_000] for at in range(0, len(text), 24_000)]  # the first step is over in 0.9 s
     slow: Said = [(0.3 * number, piece) for number, piece in enumerate(pieces)]
     assert slow[-1][0] > 6
     loop = Clock([slow[:-1], slow])
@@ -671,4 +671,4 @@
         loop.close()
     (begun, _), (again, _) = loop.asked
     assert begun == 0 and slow[-2][0] + STALL_S <= again < slow[-2][0] + STALL_S + 0.2
-    assert len(directory_of[0]) == 1000 and directory_of[0].versions.newest == 41
+    assert len(directory_of[0]) == LONG and directory_of[0].versions.newest == 41
