--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -437,6 +437,22 @@
     play(tmp_path, story)
 
 
+def test_clients_are_answered_while_a_list_of_20000_is_read(tmp_path: Path) -> None:
+    async def story(world: World) -> None:
+        node = await world.node()
+        world.entries += [{**world.entries[0], "id": f"o-{number}", "cell": 2 + number, "addr": "127.9.0.1:3000"}
+                          for number in range(20_000)]
+        world.tell(world.watches[-1], world.entries, True)
+        await until(lambda: node.watch.reading)
+        answered = 0
+        while node.watch.reading:
+            assert await ask(node, hand_in(f"m-{answered}", body=b"")) in (202, 503)
+            answered += node.watch.reading
+        assert answered >= 3 and len(node.directory) == 20_001 and len(world.watches) == 1
+
+    play(tmp_path, story)
+
+
 def test_end_that_the_disk_would_not_take_is_not_forgotten_by_the_next_process(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """A message that was told as refused goes on nowhere: its client has come again."""
