--- a/linnetstile/cli/main.py
+++ b/linnetstile/cli/main.py
@@ -11,6 +11,7 @@
 
 COMMANDS = {
     "relay": "Run one relay from a settings file.",
+    "scale": "Play a fleet at size, hollow relays beside real ones.",
     "play": "Play a day through real relays and judge it.",
     "check": "Judge the record of a run by the rules.",
     "show": "Show what a running relay holds: connections, queues, slow partners.",
--- a/linnetstile/lab/check.py
+++ b/linnetstile/lab/check.py
@@ -21,6 +21,13 @@
 FINDINGS_MAX = 20
 
 
+def cold_calls(rate: float, since_ms: float, cold_share: float, cold_ms: float, fall_multiple: float,
+               fall_ms: float) -> float:
+    """Calls that the rules allow a cold destination within `fall_ms`, so long after its return; `rate` is a second."""
+    share = cold_share + (1 - cold_share) * since_ms / max(1.0, cold_ms)
+    return fall_multiple * share * rate * fall_ms / 1000
+
+
 @dataclass(slots=True)
 class Verdict:
     rule: str
@@ -269,8 +276,8 @@
         cold = [call for call in calls if back < call.t <= back + s["cold_ms"]]
         for n, last in enumerate(cold):
             window = [call for call in cold[: n + 1] if call.t > last.t - s["fall_ms"]]
-            share = s["cold_share"] + (1 - s["cold_share"]) * (last.t - back) / max(1.0, s["cold_ms"])
-            most = s["fall_multiple"] * share * rate * s["fall_ms"] / 1000 + QUEUE
+            most = QUEUE + cold_calls(
+                rate, last.t - back, s["cold_share"], s["cold_ms"], s["fall_multiple"], s["fall_ms"])
             if len(window) > most and sum(call.relay in knew for call in window) >= len(window) * 2 / 3:
                 v.breach(f"{partner}: {len(window)} calls in {s['fall_ms']:.0f} ms, {last.t - back:.0f} ms after its "
                          f"return; {most:.1f} were allowed")
