--- a/linnetstile/lab/scale/hollow.py
+++ b/linnetstile/lab/scale/hollow.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import json
 import random
 import time
 from collections import Counter
@@ -16,8 +17,10 @@
 
 from ...codec.objects import Objects
 from ...decisions import interface as api
+from ...decisions import recall
 from ...decisions.bounds import WATCH_MS, pause_ms
 from ...decisions.control import Relay, suspect
+from ...decisions.knowledge import Claim
 from ...decisions.leftover import leftover
 from ...decisions.lists import watch_until
 from ...node import discovery
@@ -74,6 +77,12 @@
     return any(suspect(lane, now) for lane in relay.lanes.get(destination, {}).values())
 
 
+def told_to_others(relay: Relay, now: float, cells: list[int]) -> tuple[int, int]:
+    """What the relay could tell others of these destinations: claims, and bytes as the relay service writes them."""
+    found = recall.claims(relay, now, {cell: f"d-{cell}" for cell in cells})
+    return len(found), sum(len(json.dumps({name: getattr(each, name) for name in Claim.__slots__})) for each in found)
+
+
 def make(world: World, number: int, seed: int) -> Relay:
     """The module as the node makes it."""
     settings = world.settings(number)
@@ -110,6 +119,7 @@
     bytes: Counter[int] = field(default_factory=Counter)  # control, by second
     refused: int = 0  # lists that could not be taken
     known: int = 0  # endpoints, at the end
+    claims: tuple[int, int] = (0, 0)  # what it could tell others at the end, and its bytes
     spent: Counter[str] = field(default_factory=Counter)
     turns: Counter[str] = field(default_factory=Counter)
     longest: Counter[str] = field(default_factory=Counter)  # ns of the longest turn with a list
@@ -142,6 +152,7 @@
             if self.trace.cut:
                 break
         self.trace.known = self.ears.known()
+        self.trace.claims = told_to_others(self.relay, self.world.end, self.world.in_use)
         return self.trace
 
     def _put(self, at: float, what: str, about: Any = None) -> None:
--- a/linnetstile/lab/scale/real.py
+++ b/linnetstile/lab/scale/real.py
@@ -238,7 +238,7 @@
 
 async def compare(sizes: Sizes, folder: Path, say: Callable[[str], None]) -> dict[str, Any]:
     """Plays the comparison. Raises NotStarted, OSError."""
-    bench = Bench(folder)
+    bench, begun = Bench(folder), time.monotonic()
     try:
         ports = await bench.endpoint(), await bench.endpoint()
         # As many relays as there are here: the pace of few messages is then no part of the times.
@@ -268,6 +268,7 @@
                     await asyncio.sleep(0.02)
         again = stand.asked[asked:]
         found["reopened"] = again
+        found |= {"sent_bytes": stand.sent, "watches": len(stand.asked), "seconds": round(time.monotonic() - begun, 1)}
         found["since_version"] = bool(again) and all("since=" in target for target in again)
         for real in bench.reals:
             if real.process.poll() is not None:
--- a/linnetstile/lab/scale/report.py
+++ b/linnetstile/lab/scale/report.py
@@ -13,16 +13,19 @@
 from pathlib import Path
 from typing import Any
 
+from ...decisions.membership import ROUND_MS
+from ...service.knowledge import CLAIMS_MAX
 from ..check import cold_calls
 from .fleet import Played
 from .hollow import Trace
 from .scenes import WHAT
 from .truth import (
-    CHANGES_A_DAY, EMPTY_BYTES, EMPTY_MS, MACHINES, RATE, TARGET_DESTINATIONS, TARGET_RELAYS, Outage, Scene, World,
+    CHANGES_A_DAY, EACH_PER_S, EMPTY_BYTES, EMPTY_MS, MACHINES, RATE, TARGET_DESTINATIONS, TARGET_RELAYS, Outage, Scene,
+    World,
 )
 
 BYTES_S, MEMORY, CORE, IN_FORCE_MS = 3_000.0, 32e6, 0.021, 4_000.0  # the users' bounds of control, for one relay
-RESTARTS_A_DAY = 84
+RESTARTS_A_DAY, BACKLOG = 84, 1.1e9 / TARGET_RELAYS  # of the fleet; messages of one relay
 AWAY_MS = 6_000.0  # a relay that ends so soon after a change need not have had it
 EMPTY_S = EMPTY_BYTES * 1000 / EMPTY_MS  # bytes a second of empty lines
 
@@ -188,7 +191,9 @@
     turns: Counter[str] = sum((trace.turns for trace in traces), Counter())
     up_s = sum(_up_s(world, trace.relay, 0.0, world.end) for trace in traces)
     longest = {what: max((trace.longest[what] for trace in traces), default=0) / 1e6 for what in ("whole", "change")}
-    return {"ms_a_turn": {what: round(spent[what] / 1e6 / n, 4) for what, n in sorted(turns.items())},
+    found = sum(messages for trace in traces for _, _, messages in trace.ready)
+    return {"resume_us_a_message": round(spent["resume"] / 1e3 / found, 2) if found else None,
+            "ms_a_turn": {what: round(spent[what] / 1e6 / n, 4) for what, n in sorted(turns.items())},
             "turns": dict(sorted(turns.items())),
             "control_share_of_a_core": round((spent["whole"] + spent["change"]) / 1e9 / max(1e-9, up_s), 6),
             "longest_turn_ms": {what: round(ms, 2) for what, ms in longest.items()},
@@ -205,8 +210,21 @@
     return max(0.0, my + slope * (at - mx))
 
 
-def forecast(costs: list[dict[str, float]]) -> dict[str, float]:
-    """One relay's control at the target, on a straight line through what lists of three sizes cost in this run."""
+def telling(traces: list[Trace]) -> dict[str, float]:
+    """What telling others would cost a relay at the target, if it were done as the relay service does: in each round it
+    asks one peer for what has changed, which is whatever the peer has called since."""
+    claims = sum(trace.claims[0] for trace in traces)
+    if not claims:
+        return {}
+    each, round_s = sum(trace.claims[1] for trace in traces) / claims, 1.25 * ROUND_MS / 1000
+    called = TARGET_DESTINATIONS * (1 - math.exp(-EACH_PER_S / TARGET_RELAYS * round_s))
+    return {"claim_bytes": round(each, 1), "claims_a_round": round(called), "claims_most": CLAIMS_MAX,
+            "bytes_a_second": round(called * each / round_s)}
+
+
+def forecast(costs: list[dict[str, float]], resume_us: float | None) -> dict[str, float]:
+    """One relay's control at the target, on a straight line through what lists of three sizes cost in this run. Its
+    backlog: the module's part of resuming it."""
     taken = [row for row in costs if row["known"]]
     if not taken:
         return {}
@@ -222,7 +240,8 @@
             "core_share": round((CHANGES_A_DAY * change_ms + starts * list_ms) / 1000 / 86_400, 7),
             "list_at_bound_s": round(list_bytes / BYTES_S, 1),
             "machine_day_bytes_a_second": round(day_bytes / 86_400 * TARGET_RELAYS / MACHINES, 1),
-            "machine_zone_back_bytes": round(list_bytes * TARGET_RELAYS / 6 / MACHINES)}
+            "machine_zone_back_bytes": round(list_bytes * TARGET_RELAYS / 6 / MACHINES),
+            "backlog_resume_s": round(BACKLOG * (resume_us or 0.0) / 1e6, 1)}
 
 
 def bounds(found: dict[str, Any]) -> list[dict[str, Any]]:
@@ -240,13 +259,18 @@
             scene["changes"]["since_told_ms"].get("last"), IN_FORCE_MS, "ms", "simulated")
         row(f"{name}: control bytes of the relay that got most", scene["control"]["bytes_a_second"].get("last"),
             BYTES_S, "bytes/s", "simulated, at the size played")
-        if scene["cold"]["returns"]:
+        if scene["cold"]["calls"]:
             row(f"{name}: calls to a cold destination, the worst window of all returns",
                 scene["cold"]["worst_of_allowed"], 1.0, "of N + 2*sqrt(N) + 2", "simulated, the whole fleet")
     row("control, share of a core over the run", found["measured"]["control_share_of_a_core"], CORE, "cores",
         "measured, changes of a day in short")
-    ahead = found["forecast"]
-    if ahead:
+    if told := found["compared"]:
+        row(f"memory of a real relay with {found['sizes']['destinations']} destinations, beyond one with few",
+            max(each["now"] for each in told["memory"]) - told["memory_small"]["now"], MEMORY, "bytes", "measured")
+    if ahead := found["telling"]:
+        row("telling others of destinations at the target", ahead["bytes_a_second"], BYTES_S, "bytes/s",
+            "forecast: not done on the platform")
+    if ahead := found["forecast"]:
         row("memory of directory and module at the target", ahead["memory_bytes"], MEMORY, "bytes", "forecast")
         row("control bytes at the target, an ordinary day", ahead["bytes_a_second"], BYTES_S, "bytes/s", "forecast")
         row("control, share of a core at the target", ahead["core_share"], CORE, "cores", "forecast")
@@ -258,8 +282,9 @@
     first, samples = simulated(world, played)
     found: dict[str, Any] = {
         "sizes": asdict(world.sizes), "target": {"relays": TARGET_RELAYS, "destinations": TARGET_DESTINATIONS},
-        "simulated": first, "measured": measured(world, played), "forecast": forecast(played.costs),
+        "simulated": first, "measured": measured(world, played), "telling": telling(played.traces),
         "compared": compared, "left_out": {"relays": len(world.sizes.hollow) - first["relays_played"]}}
+    found["forecast"] = forecast(played.costs, found["measured"]["resume_us_a_message"])
     found["bounds"] = bounds(found)
     return found, samples
 
@@ -280,6 +305,8 @@
             f"{first['known_at_the_end'].get('median', 0):.0f} (median)"]
     if found["left_out"]["relays"]:
         rows.append(f"LEFT OUT: {found['left_out']['relays']} relays, as the time was up; figures are of the others")
+    if first["known_at_the_end"].get("median", 0) < sizes["destinations"]:
+        rows.append("NO LIST: relays do not know the destinations; what they do about them below says nothing")
     for scene in first["scenes"]:
         changes, outages, cold, counts = scene["changes"], scene["outages"], scene["cold"], scene["counts"]
         starts, members = scene["starts"], scene["members"]
@@ -296,7 +323,7 @@
             rows.append(f"  calls to what was down: {counts.get('calls_down', 0)} of {counts.get('calls', 0)}, "
                         f"{counts.get('calls_down_known', 0)} of them by relays that knew; "
                         f"{scene['calls_down_a_second']} a second at each, of the whole fleet")
-        if cold["returns"]:
+        if cold["calls"]:
             rows.append(f"  {cold['returns']} returns: {cold['falls']} get more calls than a cold one stands; worst "
                         f"window {cold['worst_of_allowed']:.2f} of what is allowed ({cold['worst']})")
         if starts["starts"]:
@@ -318,10 +345,13 @@
     rows += [f"  {row['destinations']:.0f}  {row['bytes']:.0f}  {row['list_ms']:.1f}  {row.get('drain_ms', 0.0):.3f}"
              for row in costs]
     rows += [f"ms a turn: {found['measured']['ms_a_turn']}; longest with a list: "
-             f"{found['measured']['longest_turn_ms']}"]
+             f"{found['measured']['longest_turn_ms']}; us to resume a message: "
+             f"{found['measured']['resume_us_a_message']}"]
     if found["forecast"]:
         rows += ["", f"forecast at {TARGET_DESTINATIONS} destinations (not played; from lists of up to "
                      f"{sizes['cost_most']}):", f"  {found['forecast']}"]
+    if found["telling"]:
+        rows.append(f"  telling others, as the relay service does: {found['telling']}")
     if found["compared"]:
         rows += ["", *_compared(found["compared"])]
     rows += ["", "bounds: ratio, what, value, bound"]
@@ -331,7 +361,10 @@
 
 
 def _compared(told: dict[str, Any]) -> list[str]:
-    rows = [f"hollow beside real ({told['relays']} processes): {'the same' if told['agrees'] else 'NOT THE SAME'}; "
+    taken = "taken" if told["list_taken_by_hollow"] else "REFUSED"
+    rows = [f"a list of {told['list_bytes']} bytes, {taken} by the hollow twins; discovery sent {told['sent_bytes']} "
+            f"bytes to the real ones in {told['seconds']} s, over {told['watches']} watches",
+            f"hollow beside real ({told['relays']} processes): {'the same' if told['agrees'] else 'NOT THE SAME'}; "
             f"endpoints {told['endpoints']}; a watch that broke asked for "
             f"{'what changed' if told['since_version'] else 'the whole list'}"]
     rows += [f"  version {row['version']} {row['what']}: expected {row['expected']}, hollow {row['hollow']} "
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -75,6 +75,8 @@
     assert compared["agrees"] and [row["what"] for row in compared["changes"]].count("gone") == 1
     assert all(row["real"] == row["hollow"] == [row["expected"]] for row in compared["changes"])
     assert compared["endpoints"] == [{"real": 200, "hollow": 200}] and len(compared["reopened"]) == 1
+    assert found["telling"]["claim_bytes"] > 100 and found["forecast"]["backlog_resume_s"] > 0
+    assert compared["sent_bytes"] > 2 * compared["list_bytes"] and compared["watches"] == 2
     assert [row["known"] for row in found["measured"]["costs"]] == [100, 200, 400]
     for name in ("in-force.png", "learned.png", "bounds.png"):
         assert (tmp_path / "out" / name).read_bytes().startswith(b"\x89PNG")
@@ -124,6 +126,7 @@
     assert not any(what.endswith(":calls") for what in trace.counts)
     found, _ = report.build(scenes.build(sizes), Played([trace]), None)
     assert found["simulated"]["lists_refused"] == hollow.REFUSALS and "lists refused 3" in report.text(found)
+    assert "NO LIST" in report.text(found) and found["telling"] == {}
 
 
 def test_what_the_time_does_not_allow_is_left_out_and_told() -> None:
