Scale run: a change missed with a broken watch is compared too

Need: what a relay asks for once its watch broke was only read off its request; nothing showed that hollow and real then have what they missed. Real relays had no bound of the run's own on memory.

Change: after the watches break with a change untold, hollow and real are asked for its destination. Each real process gets its part of 3 GB. Tests for a difference between hollow and real, a real relay that does not start, a process of the fleet that is killed or has too little memory.

--- a/linnetstile/lab/scale/fleet.py
+++ b/linnetstile/lab/scale/fleet.py
@@ -19,12 +19,12 @@
 from typing import Any
 
 from ...decisions.control import Relay
-from . import members, scenes
+from . import members, real, scenes
 from .hollow import Ears, Hollow, Trace, make
 from .truth import Sizes, World
 
 MEMORY = 12 * 1000**3  # bytes, of the whole run
-SPARED = 2 * 1000**3  # of it for the first process, real relays and the report
+SPARED = 1000**3 + real.MEMORY  # of it for the first process with the report, and for real relays
 SPELL_S = 2.0  # between two lines of progress
 GRACE_S = 20.0  # beyond its time, for a process that is in the middle of a list
 COST_CHANGES = 24  # of each kind, to price one
--- a/linnetstile/lab/scale/hollow.py
+++ b/linnetstile/lab/scale/hollow.py
@@ -24,7 +24,8 @@
 from ...decisions.leftover import leftover
 from ...decisions.lists import watch_until
 from ...node import discovery
-from .truth import BEGIN_MS, EMPTY_BYTES, EMPTY_MS, EACH_PER_S, KINDS, ZONES, Change, Life, World, chunk
+from ...standins.discovery import chunk
+from .truth import BEGIN_MS, EMPTY_BYTES, EMPTY_MS, EACH_PER_S, KINDS, ZONES, Change, Life, World
 
 NEAR_MS, FAR_MS, WORK_MS, WORK_MOST_MS = 2.0, 30.0, 40.0, 400.0  # way in a region, between them; mean work of a call
 PIECE = 64 * 1024  # bytes that a socket brings at a time
--- a/linnetstile/lab/scale/real.py
+++ b/linnetstile/lab/scale/real.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import resource
 import socket
 import subprocess
 import sys
@@ -24,7 +25,7 @@
 from ...net import client, server
 from ...standins.discovery import DiscoveryStand
 from .hollow import Ears, make
-from .truth import Sizes, World
+from .truth import Change, Sizes, World
 
 ASKED = ("replace", "drain", "add") * 3 + ("gone",)  # changes that are told one by one
 BURST = 100  # at once
@@ -32,6 +33,7 @@
 PAUSE_S = 0.06  # between two of them
 START_S, SHOWS_S = 20.0, 6.0
 SMALL = 20  # destinations of the relay that memory is compared with
+MEMORY = 3 * 1000**3  # bytes that all of them may have
 NOWHERE = "none"
 
 
@@ -131,8 +133,8 @@
 class Bench:
     """The stand-ins and the processes of one comparison."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, memory: int) -> None:
+        self.folder, self.memory = folder, memory  # bytes that a process may have
         self.reals: list[Real] = []
         self.stands: list[DiscoveryStand] = []
         self.endpoints: list[server.Server] = []
@@ -177,6 +179,7 @@
                 env={**os.environ, "GW_CONFIG": str(config), "GW_STATE": str(state), "GW_NAME": name})
         real = Real(name, number, process, port, log)
         self.reals.append(real)
+        resource.prlimit(process.pid, resource.RLIMIT_AS, (self.memory, self.memory))
         return real
 
     async def ready(self, real: Real) -> None:
@@ -238,7 +241,7 @@
 
 async def compare(sizes: Sizes, folder: Path, say: Callable[[str], None]) -> dict[str, Any]:
     """Plays the comparison. Raises NotStarted, OSError."""
-    bench, begun = Bench(folder), time.monotonic()
+    bench, begun = Bench(folder, MEMORY // (sizes.real + 1)), time.monotonic()
     try:
         ports = await bench.endpoint(), await bench.endpoint()
         # As many relays as there are here: the pace of few messages is then no part of the times.
@@ -258,18 +261,11 @@
         found = _start(reals, least, twins, taken, told)
         say(f"ready with {[real.ready['endpoints'] for real in reals]} endpoints; hollow twins "
             f"{[twin.ears.known() for twin in twins]}")
+        shows = Shows(bench, stand, told, reals, twins, rng, found)
         if all(taken):
-            await _changes(bench, stand, told, reals, twins, rng, found)
-        asked = len(stand.asked)
-        stand.drop()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SHOWS_S):
-                while len(stand.asked) < asked + len(reals):
-                    await asyncio.sleep(0.02)
-        again = stand.asked[asked:]
-        found["reopened"] = again
+            await shows.changes()
+        await shows.broken(all(taken))
         found |= {"sent_bytes": stand.sent, "watches": len(stand.asked), "seconds": round(time.monotonic() - begun, 1)}
-        found["since_version"] = bool(again) and all("since=" in target for target in again)
         for real in bench.reals:
             if real.process.poll() is not None:
                 raise NotStarted(f"{real.name} ended by itself with {real.process.returncode}")
@@ -288,43 +284,75 @@
         "memory": [real.memory() for real in reals], "memory_small": least.memory(), "changes": []}
 
 
-async def _changes(bench: Bench, stand: DiscoveryStand, told: Told, reals: list[Real], twins: list[Twin],
-                   rng: random.Random, found: dict[str, Any]) -> None:
-    world, now = told.world, 1000.0
-    cells = rng.sample(range(world.sizes.destinations), len(ASKED) + 1)
+class Shows:
+    """Changes, and whether hollow and real relays show them."""
+
+    def __init__(self, bench: Bench, stand: DiscoveryStand, told: Told, reals: list[Real], twins: list[Twin],
+                 rng: random.Random, found: dict[str, Any]) -> None:
+        self.bench, self.stand, self.told, self.reals, self.twins = bench, stand, told, reals, twins
+        self.rng, self.found, self.now = rng, found, 1000.0
+        self.names = {str(port): f"port-{n}" for n, port in enumerate(told.world.ports or ())} | {NOWHERE: NOWHERE}
+
+    def make(self, what: str, cell: int) -> Change:
+        self.now += 5_000.0
+        change = self.told.world.change(what, cell, self.now, self.rng)
+        self.told.version = change.version
+        return change
 
-    async def one(what: str, cell: int) -> None:
-        nonlocal now
-        now += 5_000.0
-        change = world.change(what, cell, now, rng)
-        turn = world.turn(change.cell, now)
+    async def row(self, change: Change) -> None:
+        """Asks all of them, which have been told."""
+        world = self.told.world
+        turn = world.turn(change.cell, self.now)
         expected = NOWHERE if turn < 0 else str((world.ports or (0, 0))[turn % 2])
-        told.version = change.version
-        for twin in twins:
-            twin.hear(change.line, now)
-        sights = [twin.asks(change.cell, now) for twin in twins]
-        stand.tell(change.line)
-        shown = await asyncio.gather(*(bench.shows(real, change.cell, expected) for real in reals))
-        names = {str(port): f"port-{n}" for n, port in enumerate(world.ports or ())} | {NOWHERE: NOWHERE}
-        found["changes"].append({
-            "version": change.version, "what": what, "expected": names[expected],
-            "hollow": [names.get(where, where) for where, _ in sights],
+        sights = [twin.asks(change.cell, self.now) for twin in self.twins]
+        shown = await asyncio.gather(*(self.bench.shows(real, change.cell, expected) for real in self.reals))
+        self.found["changes"].append({
+            "version": change.version, "what": change.what, "expected": self.names[expected],
+            "hollow": [self.names.get(where, where) for where, _ in sights],
             "hollow_ms": [round(ms, 1) for _, ms in sights],
-            "real": [names.get(where, where) for where, _ in shown], "real_ms": [round(ms, 1) for _, ms in shown]})
-
-    for what, cell in zip(ASKED, cells, strict=False):
-        await one(what, cell)
-    before = [real.cpu_s() for real in reals]
-    burst = [world.change("weight", rng.randrange(world.sizes.destinations), now, rng) for _ in range(BURST)]
-    told.version = burst[-1].version
-    for change in burst:
-        stand.tell(change.line)
-        for twin in twins:
-            twin.hear(change.line, now)
-    begun = time.monotonic()
-    await one("replace", cells[-1])
-    found["burst"] = {"changes": BURST, "until_next_shows_ms": round((time.monotonic() - begun) * 1000, 1),
-                      "cpu_s": [round(real.cpu_s() - was, 3) for real, was in zip(reals, before, strict=True)]}
+            "real": [self.names.get(where, where) for where, _ in shown], "real_ms": [round(ms, 1) for _, ms in shown]})
+
+    async def tell(self, what: str, cell: int) -> None:
+        change = self.make(what, cell)
+        for twin in self.twins:
+            twin.hear(change.line, self.now)
+        self.stand.tell(change.line)
+        await self.row(change)
+
+    async def changes(self) -> None:
+        """Some one by one, then many at once."""
+        world = self.told.world
+        self.cells = self.rng.sample(range(world.sizes.destinations), len(ASKED) + 2)
+        for what, cell in zip(ASKED, self.cells, strict=False):
+            await self.tell(what, cell)
+        before = [real.cpu_s() for real in self.reals]
+        for _ in range(BURST):
+            change = world.change("weight", self.rng.randrange(world.sizes.destinations), self.now, self.rng)
+            self.stand.tell(change.line)
+            for twin in self.twins:
+                twin.hear(change.line, self.now)
+        begun = time.monotonic()
+        await self.tell("replace", self.cells[-1])
+        self.found["burst"] = {
+            "changes": BURST, "until_next_shows_ms": round((time.monotonic() - begun) * 1000, 1),
+            "cpu_s": [round(real.cpu_s() - was, 3) for real, was in zip(self.reals, before, strict=True)]}
+
+    async def broken(self, listed: bool) -> None:
+        """All watches break, and a change is missed with them: what relays ask for then, and whether they have it."""
+        missed = self.make("replace", self.cells[-2]) if listed else None
+        asked = len(self.stand.asked)
+        self.stand.drop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SHOWS_S):
+                while len(self.stand.asked) < asked + len(self.reals):
+                    await asyncio.sleep(0.02)
+        again = self.found["reopened"] = self.stand.asked[asked:]
+        since = self.found["since_version"] = bool(again) and all("since=" in target for target in again)
+        if missed:
+            for twin in self.twins:
+                twin.ears.opened()
+                twin.hear(missed.line if since else self.told.whole(), self.now)
+            await self.row(missed)
 
 
 def agrees(found: dict[str, Any]) -> bool:
--- a/linnetstile/lab/scale/report.py
+++ b/linnetstile/lab/scale/report.py
@@ -347,6 +347,8 @@
     rows += [f"ms a turn: {found['measured']['ms_a_turn']}; longest with a list: "
              f"{found['measured']['longest_turn_ms']}; us to resume a message: "
              f"{found['measured']['resume_us_a_message']}"]
+    rows.append(f"memory of the processes that played, each at its largest, in all: "
+                f"{found['measured']['peak_bytes_of_all'] / 1e6:.0f} MB")
     if found["forecast"]:
         rows += ["", f"forecast at {TARGET_DESTINATIONS} destinations (not played; from lists of up to "
                      f"{sizes['cost_most']}):", f"  {found['forecast']}"]
--- a/linnetstile/lab/scale/truth.py
+++ b/linnetstile/lab/scale/truth.py
@@ -141,10 +141,6 @@
     failed_at: float = 0.0
 
 
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 class World:
     """Zones by number: relay or destination n lies in zone n % 6, zones 0 to 2 in region 0. `ports`: all endpoints lie
     on these two ports of loopback, by turns; else at addresses that nobody calls."""
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -17,8 +17,8 @@
 
 from linnetstile.cli.main import main
 from linnetstile.decisions import interface as api
-from linnetstile.lab.scale import hollow, members, report, scenes
-from linnetstile.lab.scale.fleet import Played
+from linnetstile.lab.scale import fleet, hollow, members, real, report, scenes
+from linnetstile.lab.scale.fleet import Failed, Fleet, Played
 from linnetstile.lab.scale.hollow import Ears, Hollow, Trace
 from linnetstile.lab.scale.truth import SCENES, Sizes, World
 
@@ -181,6 +181,39 @@
     assert [each.name for each in tmp_path.iterdir()] == ["mine"]
 
 
+def test_hollow_and_real_that_differ_are_told_apart() -> None:
+    row = {"expected": "port-1", "hollow": ["port-1", "port-1"], "real": ["port-1", "port-1"]}
+    same = {"changes": [row], "endpoints": [{"real": 3, "hollow": 3}]}
+    assert real.agrees(same)
+    for name in ("hollow", "real"):
+        assert not real.agrees({**same, "changes": [row, row | {name: ["port-1", "none"]}]})
+    assert not real.agrees({**same, "endpoints": [{"real": 2, "hollow": 3}]})
+
+
+def test_a_real_relay_that_does_not_start_is_told_in_one_line(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sys, "executable", "/bin/false")
+    done = CliRunner().invoke(main, ["scale", *options(TINY), "--out", str(tmp_path / "out")])
+    assert done.exit_code == 3
+    last = done.output.splitlines()[-1]
+    assert last == "linnetstile scale: small did not start: it wrote nothing"
+
+
+@pytest.mark.parametrize("killed", [True, False])
+def test_a_process_of_the_fleet_that_ends_ends_the_run(monkeypatch: pytest.MonkeyPatch, killed: bool) -> None:
+    if not killed:
+        monkeypatch.setattr(fleet, "MEMORY", fleet.SPARED + 4)  # bytes, for four processes
+    played = Fleet(replace(TINY, destinations=20_000), False, 60.0, lambda line: None)
+    processes = [process for _, process in played.pipes.values()]
+    try:
+        if killed:
+            processes[-1].kill()
+        with pytest.raises(Failed, match="ended by itself|more than"):
+            played.play()
+    finally:
+        played.close()
+    assert len(processes) == 4 and not any(process.is_alive() for process in processes)
+
+
 def below(pid: int) -> set[int]:
     """The processes that a process has started, and theirs."""
     found: set[int] = set()
