--- a/linnetstile/lab/scale/hollow.py
+++ b/linnetstile/lab/scale/hollow.py
@@ -112,7 +112,8 @@
     cleared: dict[int, float] = field(default_factory=dict)  # outage -> first answer after it, of a relay that knew
     knew: set[int] = field(default_factory=set)  # outages held as out when they ended
     asked: set[int] = field(default_factory=set)  # outages in which it had a message for the destination
-    cold: list[tuple[int, float]] = field(default_factory=list)  # calls to a destination that has just come back
+    met: set[int] = field(default_factory=set)  # outages in which a call of its own failed
+    cold: list[tuple[int, float, bool]] = field(default_factory=list)  # calls to what has just come back; had met it
     ready: list[tuple[float, float, int]] = field(default_factory=list)  # start, ready, messages found
     drained: list[tuple[int, float]] = field(default_factory=list)  # messages found: scene, when each ended
     backlog: Counter[tuple[int, int]] = field(default_factory=Counter)  # (destination, second): calls, last scene
@@ -379,7 +380,7 @@
             outcome, at = api.Outcome.TIMEOUT, send.give_up_at_ms
         back = self._back(cell, now)
         if back is not None:
-            self.trace.cold.append((back, now))
+            self.trace.cold.append((back, now, back in self.trace.met))
         if send.id in self.extra:
             self.trace.backlog[cell, int(now // 1000)] += 1
         self._put(max(now, at), "ended", (send, now, outcome))
@@ -407,9 +408,10 @@
             self._over(now, send.id)
             if knew is not None and knew not in self.trace.cleared:
                 self.trace.cleared[knew] = now
-        elif (outage := self.world.down(cell, self.region, now)) and outage.number not in self.trace.learned \
-                and believes_out(self.relay, cell, now):
-            self.trace.learned[outage.number] = now
+        elif outage := self.world.down(cell, self.region, began):
+            self.trace.met.add(outage.number)
+            if now < outage.end and outage.number not in self.trace.learned and believes_out(self.relay, cell, now):
+                self.trace.learned[outage.number] = now
 
     def _held_out(self, cell: int, now: float) -> int | None:
         """The latest outage that is over, if this relay still takes it to last."""
