--- a/linnetstile/lab/scale/report.py
+++ b/linnetstile/lab/scale/report.py
@@ -118,8 +118,8 @@
         for n, (at, _) in enumerate(times):
             while times[first][0] <= at - safety.fall_ms:
                 first += 1
-            budget = cold_calls(RATE, at - outage.end, safety.cold_share, safety.cold_ms, safety.fall_multiple,
-                                safety.fall_ms)
+            budget = cold_calls(world.rate(outage.destination, at), at - outage.end, safety.cold_share,
+                                safety.cold_ms, safety.fall_multiple, safety.fall_ms)
             got, met = n + 1 - first, sum(each for _, each in times[first:n + 1])
             ratio = scaled * got / (budget + 2 * math.sqrt(budget) + 2)
             worst = max(worst, (ratio, got, budget, met))
