Scale run: a process that has drawn another world than the report's ends the run

Need: a run of 46 relays with 20,000 destinations told of changes in force after 242 s: its files had been edited as its processes started, and they had drawn other changes than the report held them against. Nothing said so.

--- a/linnetstile/lab/scale/fleet.py
+++ b/linnetstile/lab/scale/fleet.py
@@ -43,6 +43,14 @@
     members: dict[str, Any] = field(default_factory=dict)
     peak: dict[str, int] = field(default_factory=dict)  # bytes of each process at its largest
 
+    def check(self, world: World) -> None:
+        """Raises Failed if a process has played another world than this: its figures would be held against changes and
+        outages that it never had."""
+        mark = world.mark()
+        for trace in self.traces:
+            if trace.world != mark:
+                raise Failed(f"relay {trace.relay} played another world: the program was changed while it ran")
+
 
 def cost(sizes: Sizes, destinations: int) -> dict[str, float]:
     """What the list of so many destinations costs one hollow relay: bytes of directory and module, as the interpreter
--- a/linnetstile/lab/scale/hollow.py
+++ b/linnetstile/lab/scale/hollow.py
@@ -107,6 +107,7 @@
     """What one relay did. Times in simulated ms; `spent` holds processor time in ns and is measured."""
 
     relay: int
+    world: int  # mark of the world that it played
     heard: dict[int, float] = field(default_factory=dict)  # version -> when it was in force
     learned: dict[int, float] = field(default_factory=dict)  # outage -> when the module took it as out
     cleared: dict[int, float] = field(default_factory=dict)  # outage -> first answer after it, of a relay that knew
@@ -135,7 +136,7 @@
         self.world, self.number, self.since_version, self.overdue = world, number, since_version, overdue
         self.rng = random.Random(f"{world.sizes.seed}:hollow:{number}")
         self.region = world.region(number)
-        self.trace = Trace(number)
+        self.trace = Trace(number, world.mark())
         self.heap: list[tuple[float, int, str, Any]] = []  # at, order, what, about
         self.order = self.timer = 0
         self.ears, self.relay = Ears(), make(world, number, 0)
--- a/linnetstile/lab/scale/run.py
+++ b/linnetstile/lab/scale/run.py
@@ -45,7 +45,9 @@
             played = fleet.play()
         finally:
             fleet.close()
-        found, samples = report.build(scenes.build(sizes), played, compared)
+        world = scenes.build(sizes)
+        played.check(world)
+        found, samples = report.build(world, played, compared)
         report.write(found, samples, folder, say)
         return found
     finally:
--- a/linnetstile/lab/scale/truth.py
+++ b/linnetstile/lab/scale/truth.py
@@ -7,6 +7,7 @@
 
 import json
 import random
+import zlib
 from bisect import bisect_right
 from dataclasses import dataclass, field
 from typing import Any
@@ -165,6 +166,11 @@
         self.end = 0.0
         self._whole: tuple[int, bytes] = (0, b"")
 
+    def mark(self) -> int:
+        """The same for the same world: guards against processes that have drawn another one."""
+        found = zlib.crc32(b"".join(change.line for change in self.changes))
+        return zlib.crc32(repr((self.outages, self.lives, self.in_use, self.end)).encode(), found)
+
     # -- places ----------------------------------------------------------------------------------------------
 
     @staticmethod
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -151,12 +151,12 @@
     outage = [o for o in world.outages if o.destination in world.in_use][0]
     safety = world.settings(0).safety
     calls = [(outage.number, outage.end + n * 1e-3, n < met) for n in range(40)]
-    trace = Trace(0, cold=calls, met={outage.number})
+    trace = Trace(0, 0, cold=calls, met={outage.number})
     cold = report._cold(world, world.scenes[0], [trace], 1.0)
     assert cold["worst"]["calls"] == 40 and cold["worst"]["by_relays_that_met_it"] == met
     assert cold["falls"] == 1 and cold["breaks"] == breaks and cold["worst"]["met_by"] == 1
     late = [(outage.number, outage.end + n * safety.fall_ms, True) for n in range(6)]
-    assert report._cold(world, world.scenes[0], [Trace(0, cold=late)], 1.0)["falls"] == 0
+    assert report._cold(world, world.scenes[0], [Trace(0, 0, cold=late)], 1.0)["falls"] == 0
 
 
 @pytest.mark.parametrize(("args", "expected"), [
@@ -203,6 +203,15 @@
     assert last == "linnetstile scale: small did not start: it wrote nothing"
 
 
+def test_a_process_that_has_drawn_another_world_ends_the_run() -> None:
+    world, other = scenes.build(TINY), scenes.build(replace(TINY, seed=2))
+    played = Played([Trace(0, world.mark()), Trace(3, other.mark())])
+    with pytest.raises(Failed, match="relay 3 played another world"):
+        played.check(world)
+    played.traces.pop()
+    played.check(scenes.build(TINY))
+
+
 @pytest.mark.parametrize("killed", [True, False])
 def test_a_process_of_the_fleet_that_ends_ends_the_run(monkeypatch: pytest.MonkeyPatch, killed: bool) -> None:
     if not killed:
