--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 
 from ..codec import http1
@@ -22,6 +22,13 @@
 LIST = 8 * 1024 * 1024  # bytes: a longer object is no list, where it can't be read in parts
 
 
+def told(entries: Iterable[api.Endpoint]) -> Iterator[api.EndpointList]:
+    """What has changed, in events of bounded size: first what ends, so that none is replaced before it has."""
+    changed = sorted(entries, key=lambda entry: entry.listing is api.Listing.READY)
+    for at in range(0, len(changed), ENTRIES):
+        yield api.EndpointList(api.ListKind.CHANGES, tuple(changed[at : at + ENTRIES]))
+
+
 class _Stream(Wire):
     """One connection with a watch on it. What has come waits in `values` until its step: a long list is swept in steps,
     and nothing behind it is looked at, nor read from the kernel, before it is over."""
@@ -194,10 +201,8 @@
         self.stream = None
 
     def tell(self, entries: Iterable[api.Endpoint]) -> None:
-        """What has changed, in events of bounded size: first what ends, so that none is replaced before it has."""
-        changed = sorted(entries, key=lambda entry: entry.listing is api.Listing.READY)
-        for at in range(0, len(changed), ENTRIES):
-            self.hear(api.EndpointList(api.ListKind.CHANGES, tuple(changed[at : at + ENTRIES])))
+        for event in told(entries):
+            self.hear(event)
 
     def listed(self, reading: Reading, small: bool) -> None:
         """A list has been read to its end, and is in force."""
