--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -160,6 +160,7 @@
     part, _ = report.build(world, Played([trace]), None)  # one relay of two: nothing is said of the fleet
     assert not part["simulated"]["scenes"][0]["cold"]["judged"] and "not judged" in report.text(part)
     assert not any("cold" in row["what"] for row in part["bounds"])
+    assert part["simulated"]["scenes"][0]["control"]["largest_second_a_machine"] is None
 
 
 @pytest.mark.parametrize(("args", "expected"), [
