Slopes: a harness for what one more of each costs; queues before

Need: the size that is coming is to be worked out from measured slopes, and the same commands have to run before and after the mechanism that is missing first.

The program is reached by Relay.handle, by real node processes beside a stand-in platform, and else by the functions of benchmarks/slopes/program.py alone. tests/test_slopes.py checks fits, forecasts and the budget of a cold destination.

--- /dev/null
+++ b/benchmarks/slopes/destinations.py
@@ -0,0 +1,196 @@
+"""Destinations that a relay knows of, and two endpoints of each: memory, reading a list, a change, a message, starting.
+
+`memory`: bytes by tracemalloc, in one process: directory, then module. `list` and `list_two`: processor time of reading
+the whole list in text, directory and module, and the longest of its steps; then of one change (the best of 7) and of a
+message with its answer. `node`: a real process that knows 20 destinations gets the list by its watch: memory over the
+same process with 20, time until the last destination of the list is in force, and the longest time that a client
+waited for an answer meanwhile; then all once more as the watch is cut. `connections`: memory of a real process by
+the connections to endpoints that it keeps.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from benchmarks.slopes import inside, program
+from benchmarks.slopes.harness import Found, Series, timed
+from benchmarks.slopes.outside import Child, Client, Node, until_listed
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.control import Relay
+
+SIZES, TARGET = (1024, 7500, 15_000, 30_000, 60_000), (120_000,)
+BASE = 20  # destinations of the process that others are compared with
+MESSAGES = 300
+DAYS_MS = 3 * 86_400_000.0
+
+
+def memory(count: int, endpoints: int = 1) -> Found:
+    ends = count * endpoints
+    data = program.told(inside.servers(count, endpoints), 1, True)
+
+    def read() -> Any:
+        directory = program.new_directory()
+        events = [event for told in program.parsed(data)[0] for event in program.taken(directory, told)]
+        return directory, events
+
+    size, (directory, events) = inside.traced(read)
+    # What the event alone holds is told of apart: it goes once the module has read it.
+    relay = inside.relay(1)
+    with_module, _ = inside.traced(lambda: relay.handle(1.0, list(events)))
+    after, _ = inside.traced(events.clear)
+    del directory
+    return {"directory_bytes": size + after, "module_bytes": with_module,
+            "directory_bytes_an_endpoint": (size + after) / ends, "module_bytes_an_endpoint": with_module / ends,
+            "all_mb": (size + with_module + after) / 2**20}
+
+
+def reading(count: int, endpoints: int = 1) -> Found:
+    data = program.told(inside.servers(count, endpoints), 1, True)
+    bound = program.bound_bytes()
+    ends = count * endpoints
+    took: dict[str, float] = {}
+    found: dict[str, Any] = {}
+
+    def step(name: str, do: Callable[[], Any]) -> None:
+        def keep() -> None:
+            found[name] = do()
+        took[name] = timed(keep)
+
+    relay, directory = Relay(inside.settings(), 1), program.new_directory()
+    step("text", lambda: program.parsed(data))
+    step("directory", lambda: [event for told in found["text"][0] for event in program.taken(directory, told)])
+    step("module", lambda: relay.handle(0.0, found["directory"]))
+    told: Found = {f"{name}_us": us for name, us in took.items()}
+    told["all_us_an_endpoint"] = sum(took.values()) / ends
+    # The last bytes of a text bring it to the directory in one go; the module has its turn after that.
+    told["longest_step_us"] = max(found["text"][1] + took["directory"], took["module"])
+    told["list_bytes"] = float(len(data))
+    told["list_bytes_an_endpoint"] = len(data) / ends
+    told["within_bound"] = "yes" if bound is None or len(data) <= bound else f"refused: over {bound} bytes"
+    found.clear()
+    return told | at_rest(relay, count, endpoints)
+
+
+def at_rest(relay: Relay, count: int, endpoints: int) -> Found:
+    """A module that knows of so many: a change, a message, a turn."""
+    inside.still()
+    now = 1000.0
+    told: Found = {}
+    samples: dict[str, list[float]] = {"drains": [], "goes": [], "comes": []}
+    for number in range(7):
+        cell = (number + 1) * count // 8
+        entry = api.Endpoint(cell * endpoints + 1, cell, api.Listing.READY, 0, 0, inside.RATE)
+        fresh = api.Endpoint(10**7 + number, cell, api.Listing.READY, 0, 0, inside.RATE)
+        for name, change in (("drains", api.Endpoint(entry.id, cell, api.Listing.DRAINING)),
+                             ("comes", entry), ("goes", api.Endpoint(entry.id, cell, api.Listing.GONE)),
+                             ("comes", fresh)):
+            now += 20_000.0
+            event = api.EndpointList(api.ListKind.CHANGES, (change,))
+            samples[name].append(timed(lambda now=now, event=event: relay.handle(now, [event])))  # type: ignore[misc]
+    told |= {f"{name}_us": min(values) for name, values in samples.items()}
+    cells = [(number * 7919) % count for number in range(min(MESSAGES, count))]
+    ident = 0
+    for name, gap in (("first_message_us", 0.0), ("message_us", 1000.0), ("after_days_us", DAYS_MS)):
+        now += 10_000.0 + gap
+        times = []
+        for cell in cells:
+            ident += 1
+            now += 0.5
+            times.append(timed(lambda now=now, ident=ident, cell=cell: (  # type: ignore[misc]
+                inside.delivered(relay, ident, cell, now))))
+        told[name] = median(times)
+    told["turn_us"] = timed(lambda: [relay.handle(now + 100.0, []) for _ in range(50)], 5) / 50
+    return told
+
+
+def node(count: int) -> Found:
+    with Child() as child:
+        known = list(inside.servers(BASE, 1, child.sink))
+        child.list(BASE)
+        with Node(child, known) as small:
+            base_ready = small.ready()
+            with Client(small.port) as client:
+                until_listed(client, BASE - 1, 3.0)
+            base_mb, base_us = small.resident(), small.cpu()
+        size = child.list(count)
+        with Node(child, known) as made:
+            ready = made.ready()
+            told: Found = {"list_bytes": float(size), "ready_wall_ms": ready * 1000,
+                           "ready_over_20_wall_ms": max(0.0, ready - base_ready) * 1000}
+            with Client(made.port) as client:
+                taken, longest = until_listed(client, count - 1, 8.0)
+                told["listed_wall_ms"] = (time.monotonic() - made.began) * 1000 - 500 if taken is not None else (
+                    "refused: not in force within 8 s")
+                told["start_longest_wait_wall_ms"] = longest
+                told["over_20_mb"] = made.resident() - base_mb
+                if taken is None:
+                    return told | {"watches": float(child.do("counts")["wholes"])}
+                told["start_over_20_us"] = made.cpu() - base_us
+                told |= first_messages(child, client, count)
+                told |= cut(child, made, client, count)
+                told["over_20_after_again_mb"] = made.resident() - base_mb
+    return told
+
+
+def connections(count: int) -> Found:
+    """Memory of a real node that has just called so many destinations and keeps a connection to each, over the same
+    before, once 20 others have been called."""
+    with Child() as child:
+        child.list(count + BASE)
+        with Node(child, list(inside.servers(BASE, 1, child.sink))) as made:
+            made.ready()
+            with Client(made.port) as client:
+                until_listed(client, count + BASE - 1, 5.0)
+                for cell in range(BASE):
+                    client.hand_in(cell)
+                time.sleep(0.2)
+                before = made.resident()
+                for cell in range(BASE, count + BASE):
+                    client.hand_in(cell)
+                time.sleep(0.2)
+                kept = len(list(Path(f"/proc/{made.pid}/fd").iterdir()))
+                return {"over_before_bytes": (made.resident() - before) * 2**20, "descriptors": float(kept)}
+
+
+def first_messages(child: Child, client: Client, count: int) -> Found:
+    """From hand-in to the endpoint, over 40 quiet destinations, then over the same ones again; the medians."""
+    told: Found = {}
+    child.do("track", on=True)
+    cells = [(number * 7919) % (count - 1) for number in range(min(40, count - 1))]
+    for name in ("first_message_wall_ms", "next_message_wall_ms"):
+        sent = {}
+        for cell in cells:
+            ident = f"{name[:5]}-{cell}"
+            sent[ident] = time.monotonic()
+            client.hand_in(cell, ident=ident)
+            time.sleep(0.01)
+        time.sleep(0.1)
+        came = child.do("calls")
+        told[name] = median((came[ident] - at) * 1000 for ident, at in sent.items() if ident in came)
+    child.do("track", on=False)
+    return told
+
+
+def cut(child: Child, made: Node, client: Client, count: int) -> Found:
+    """The watch ends once and is opened anew: what that takes beside clients; one destination has come meanwhile."""
+    before, bytes_before = made.cpu(), child.do("counts")["whole_bytes"]
+    child.do("cut", servers=[inside.server(10**6 + count, count, child.sink)])
+    taken, longest = until_listed(client, count, 8.0)
+    told: Found = {"again_longest_wait_wall_ms": longest, "again_us": made.cpu() - before,
+                   "again_list_bytes": float(child.do("counts")["whole_bytes"] - bytes_before)}
+    told["again_listed_wall_ms"] = taken * 1000 if taken is not None else "not in force within 8 s"
+    return told
+
+
+SERIES = {
+    "memory": Series("destinations", SIZES, TARGET, memory, 1),
+    "memory_two": Series("destinations of two endpoints", SIZES, TARGET, lambda count: memory(count, 2), 1),
+    "list": Series("destinations", SIZES, TARGET, reading, 2),
+    "list_two": Series("destinations of two endpoints", SIZES[1:], TARGET, lambda count: reading(count, 2), 1),
+    "connections": Series("connections kept", (40, 80, 120, 160), (220,), connections, 2),
+    "node": Series("destinations", (1024, 7500, 15_000, 30_000, 40_000), (50_000, 60_000, 120_000), node, 1),
+}
--- /dev/null
+++ b/benchmarks/slopes/fit.py
@@ -0,0 +1,76 @@
+"""Fits of a measured quantity over a size, and forecasts from them. Pure functions; any unit."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+GOOD = 0.10  # largest relative residual up to which a simpler form is kept
+FORMS = ("constant", "linear", "power")  # from simple to less so
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """constant: y = a; linear: y = a + b * n; power: y = a * n ** b. `residual` is the largest of
+    |measured - fitted| / |measured| over the points of the fit, as a share."""
+
+    form: str
+    a: float
+    b: float
+    residual: float
+
+    def at(self, n: float) -> float:
+        """The forecast for a size, in the unit of what was fitted."""
+        if self.form == "power":
+            return float(self.a * n**self.b)
+        return self.a + self.b * n
+
+
+def line(xs: Sequence[float], ys: Sequence[float]) -> tuple[float, float]:
+    """Least squares of y = a + b * x; returns a and b. Raises ValueError where no line is determined."""
+    if len(xs) != len(ys) or len(set(xs)) < 2:
+        raise ValueError("a line needs two different sizes or more, each with its value")
+    middle, height = math.fsum(xs) / len(xs), math.fsum(ys) / len(ys)
+    b = math.fsum((x - middle) * (y - height) for x, y in zip(xs, ys, strict=True)) / math.fsum(
+        (x - middle) ** 2 for x in xs)
+    return height - b * middle, b
+
+
+def residual(fit: Fit, xs: Sequence[float], ys: Sequence[float]) -> float:
+    """The largest relative deviation, as a share of the measured value; of a value of 0, as a share of the largest."""
+    most = max(abs(y) for y in ys) or 1.0
+    return max(abs(y - fit.at(x)) / (abs(y) or most) for x, y in zip(xs, ys, strict=True))
+
+
+def one(form: str, xs: Sequence[float], ys: Sequence[float]) -> Fit:
+    """The fit of one form. Raises ValueError where the values don't allow it (a power needs all above 0)."""
+    if form == "constant":
+        a, b = math.fsum(ys) / len(ys), 0.0
+    elif form == "linear":
+        a, b = line(xs, ys)
+    elif form == "power":
+        if min(*xs, *ys) <= 0:
+            raise ValueError("a power needs sizes and values above 0")
+        low, b = line([math.log(x) for x in xs], [math.log(y) for y in ys])
+        a = math.exp(low)
+    else:
+        raise ValueError(f"form: expected one of {', '.join(FORMS)}, found {form!r}")
+    return Fit(form, a, b, residual(Fit(form, a, b, 0.0), xs, ys))
+
+
+def best(xs: Sequence[float], ys: Sequence[float]) -> Fit:
+    """The simplest form whose residual is good; else the one with the least. Raises ValueError without a point."""
+    found = []
+    for form in FORMS:
+        try:
+            found.append(one(form, xs, ys))
+        except (ValueError, OverflowError):
+            if form == "constant":
+                raise
+    return next((fit for fit in found if fit.residual <= GOOD), min(found, key=lambda fit: fit.residual))
+
+
+def ratio(measured: float, forecast: float) -> float | None:
+    """Measured over forecast; None where the forecast is 0."""
+    return None if forecast == 0 else measured / forecast
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,102 @@
+"""The fits and forecasts of benchmarks/slopes, and what it judges by them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benchmarks.slopes import fit
+from benchmarks.slopes.harness import LOOP, Found, Series, in_loops, judged, least
+from benchmarks.slopes.relays import budget, over_budget
+
+SIZES = [20.0, 256.0, 1024.0, 4096.0]
+
+
+def test_a_line_is_found_and_carried_on() -> None:
+    made = fit.best(SIZES, [5 + 3 * n for n in SIZES])
+    assert made.form == "linear"
+    assert made.residual < 1e-9
+    assert made.at(120_000) == pytest.approx(5 + 3 * 120_000)
+
+
+def test_the_simplest_form_that_fits_is_taken() -> None:
+    assert fit.best(SIZES, [7.0, 7.1, 6.9, 7.05]).form == "constant"
+    made = fit.best(SIZES, [2 * n**1.5 for n in SIZES])
+    assert (made.form, round(made.b, 6)) == ("power", 1.5)
+
+
+def test_without_a_good_form_the_one_with_the_least_residual_is_told_with_it() -> None:
+    values = [1.0, 900.0, 2.0, 5000.0]
+    made = fit.best(SIZES, values)
+    assert made.residual == min(fit.one(form, SIZES, values).residual for form in fit.FORMS)
+    assert made.residual > fit.GOOD
+
+
+def test_values_of_zero_are_fitted_by_forms_that_allow_it() -> None:
+    assert fit.best(SIZES, [0.0] * 4) == fit.Fit("constant", 0.0, 0.0, 0.0)
+    with pytest.raises(ValueError, match="above 0"):
+        fit.one("power", SIZES, [0.0, 1.0, 2.0, 3.0])
+
+
+@pytest.mark.parametrize("xs, ys", [([1.0], [1.0]), ([2.0, 2.0], [1.0, 3.0]), ([1.0, 2.0], [1.0])])
+def test_a_line_needs_two_sizes(xs: list[float], ys: list[float]) -> None:
+    with pytest.raises(ValueError, match="two different sizes"):
+        fit.line(xs, ys)
+
+
+def test_an_unknown_form_is_an_error() -> None:
+    with pytest.raises(ValueError, match="form: expected one of constant, linear, power"):
+        fit.one("cubic", SIZES, SIZES)
+
+
+@given(st.floats(-1e6, 1e6), st.floats(-1e3, 1e3), st.lists(st.integers(1, 10**6), min_size=2, unique=True))
+def test_any_line_comes_back(a: float, b: float, sizes: list[int]) -> None:
+    xs = [float(size) for size in sizes]
+    found = fit.line(xs, [a + b * x for x in xs])
+    most = max(abs(a), abs(b) * max(xs), 1.0)
+    assert abs(found[0] + found[1] * xs[0] - (a + b * xs[0])) <= 1e-6 * most
+
+
+def test_of_rounds_the_least_counts_and_a_text_only_without_a_number() -> None:
+    assert least([{"a_us": 3.0, "b": "refused"}, {"a_us": 2.0, "b": 4.0}, {"a_us": 5.0, "c": "refused"}]) == {
+        "a_us": 2.0, "b": 4.0, "c": "refused"}
+
+
+def test_a_check_is_no_part_of_the_fit_and_stands_beside_its_forecast() -> None:
+    points: dict[int, Found] = {n: {"x_us": 2.0 * n} for n in (10, 20, 40, 80)}
+    points[1000] = {"x_us": 4000.0}
+    points[2000] = {"x_us": "refused: over 8 bytes"}
+    series = Series("things", (10, 20, 40, 80), (1000, 2000), lambda n: {})
+    made = judged(series, points)["x_us"]
+    assert (made["form"], made["b"], made["points"]) == ("linear", 2.0, 4)
+    assert made["checks"] == [{"n": 1000, "measured": 4000.0, "forecast": 2000.0, "ratio": 2.0},
+                              {"n": 2000, "measured": "refused: over 8 bytes", "forecast": 4000.0}]
+
+
+def test_processor_time_is_told_in_calibration_loops_too() -> None:
+    points: dict[int, Found] = {n: {"x_us": 100.0 + 2.0 * n, "y_us_a_z": n**1.5, "z_bytes": 1.0 * n, LOOP: 50.0}
+                                for n in (10, 20, 40, 80)}
+    made = judged(Series("things", (10, 20, 40, 80), (), lambda n: {}), points)
+    in_loops(made, 50.0)
+    assert made["x_us"]["in_loops"] == {"a": 2.0, "b": 0.04}
+    assert made["y_us_a_z"]["in_loops"] == {"a": 0.02, "b": 1.5}  # the power is no time
+    assert "in_loops" not in made["z_bytes"]
+    assert "in_loops" not in made[LOOP]
+
+
+def test_points_that_were_refused_are_left_out_and_two_make_no_fit() -> None:
+    series = Series("things", (10, 20, 40, 80), (), lambda n: {})
+    points: dict[int, Found] = {10: {"x": 1.0}, 20: {"x": 2.0}, 40: {"x": "refused"}, 80: {"x": "refused"}}
+    assert judged(series, points) == {}
+    points[40] = {"x": 4.0}
+    assert judged(series, points)["x"]["points"] == 3
+
+
+def test_cold_calls_are_held_against_the_budget_of_their_second() -> None:
+    assert budget(0.0) == pytest.approx(8.0)  # 2 * 0.2 * 20 a second
+    assert budget(5000.0) == pytest.approx(40.0)
+    worst, chance = over_budget([0.0] * 16)
+    assert worst == pytest.approx(2.0)
+    assert chance == pytest.approx(16 / (8 + 2 * 8**0.5 + 2))
+    assert over_budget([0.0, 1000.0])[0] == pytest.approx(1 / 8)  # a second later is another span
