--- a/benchmarks/slopes/events.py
+++ b/benchmarks/slopes/events.py
@@ -3,7 +3,8 @@
 `rate_kept`: so many events a second are handed in, over 20 destinations whose connections are kept: processor time of
 the relay and of the pass-through (benchmarks/throughput.py) for the same requests in the same run. `rate_fresh`: over
 20,000 destinations in turn, so that each call makes a connection, as at the target, where one relay sees a destination
-every 50 s. `closed`: so many clients, each with one message out at a time: what is carried at most.
+every 50 s. `closed`, `closed_fresh`: the same with so many clients, each with one message out at a time: what is
+carried at most.
 """
 
 from __future__ import annotations
@@ -156,4 +157,5 @@
     "rate_kept": Series("events a second", RATES, RATE_CHECK, lambda rate: measure(20, rate, 32), 1),
     "rate_fresh": Series("events a second", RATES, RATE_CHECK, lambda rate: measure(20_000, rate, 32), 1),
     "closed": Series("clients", (1, 2, 4, 8), (16,), lambda clients: measure(20, 0.0, clients), 1),
+    "closed_fresh": Series("clients", (1, 2, 4, 8), (16,), lambda clients: measure(20_000, 0.0, clients), 1),
 }
