Slopes read long lists in parts, as the node does

Need: the same commands before and after the mechanism; program.py is the one place that knows the inside.

Change: parsed and taken go by parts where they come so, and the longest step is the longest of one part and of one event.

--- a/benchmarks/slopes/destinations.py
+++ b/benchmarks/slopes/destinations.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from pathlib import Path
 from statistics import median
 from typing import Any
@@ -54,18 +55,20 @@
     alone is measured."""
     told, events = read_in(count, endpoints)
     relay = Relay(inside.settings(), 1)
-    module = timed(lambda: relay.handle(0.0, events))
+    turns = [timed(partial(relay.handle, 0.0, [event])) for event in events]
+    module = sum(turns)
     told["module_us"] = module
     text, directory, longest = told.get("text_us"), told.get("directory_us"), told.get("longest_step_us")
     if isinstance(text, float) and isinstance(directory, float) and isinstance(longest, float):
         told["all_us_an_endpoint"] = (text + directory + module) / count / endpoints
-        told["longest_step_us"] = max(longest, module)  # the module has its turn after the directory's step
+        told["longest_step_us"] = max(longest, *turns)  # the module has its turn after the directory's step
     events.clear()
     return told | at_rest(relay, count, endpoints)
 
 
 def read_in(count: int, endpoints: int) -> tuple[Found, list[api.Event]]:
-    """From the text to events for the module. Its last bytes bring a text to the directory in one go."""
+    """From the text to events for the module. The bytes that complete a text, or a part of it, bring that to the
+    directory in one go."""
     data, bound = program.told(inside.servers(count, endpoints), 1, True), program.bound_bytes()
     sizes: Found = {"list_bytes": float(len(data)), "list_bytes_an_endpoint": len(data) / count / endpoints,
                     "within_bound": "yes" if bound is None or len(data) <= bound else f"refused: over {bound} bytes"}
@@ -74,14 +77,19 @@
     def text() -> None:
         found["text"] = program.parsed(data)
 
+    def put(told: Any) -> None:
+        found["events"] += program.taken(found["directory"], told)
+
     def directory() -> None:
-        found["events"] = [event for told in found["text"][0] for event in program.taken(found["directory"], told)]
+        found["events"], found["longest"] = [], 0.0
+        for told in found["text"][0]:
+            found["longest"] = max(found["longest"], timed(partial(put, told)))
 
     try:
         found["directory"] = program.new_directory()
         text_us, directory_us = timed(text), timed(directory)
         sizes |= {"text_us": text_us, "directory_us": directory_us,
-                  "longest_step_us": found["text"][1] + directory_us}
+                  "longest_step_us": found["text"][1] + found["longest"]}
         events: list[api.Event] = found["events"]
     except Exception as error:  # whatever a changed inner surface raises
         sizes["text_us"] = f"not measured: {error!r}"
--- a/benchmarks/slopes/program.py
+++ b/benchmarks/slopes/program.py
@@ -14,29 +14,42 @@
 
 
 def new_directory() -> Any:
-    """The node's directory, with the one kind and zone of `inside.settings`. Internal: node/discovery.py."""
-    from linnetstile.node.discovery import Directory
+    """The node's directory, with the one kind and zone of `inside.settings`. Internal: node/directory.py."""
+    from linnetstile.node.directory import Directory
 
     return Directory(("k",), ("z",))
 
 
 def parsed(data: bytes) -> tuple[list[Any], float]:
-    """The JSON texts of a watch's stream, without a bound on the length of one, and the processor time of the longest
-    step of it in us. Internal: codec/objects.py."""
+    """The JSON texts of a watch's stream, long ones in parts as the node reads them, and the processor time of the
+    longest step of it in us. Internal: codec/objects.py."""
     from linnetstile.codec.objects import Objects
 
-    objects, found, longest = Objects(1 << 40), list[Any](), 0.0
-    for at in range(0, len(data), 65536):
+    objects, found, longest = Objects(1 << 40, "servers", ("version", "full")), list[Any](), 0.0
+    for at in range(0, len(data), 16384):
         began = time.process_time()
-        found += objects.feed(data[at : at + 65536])
+        found += objects.feed(data[at : at + 16384])
         longest = max(longest, time.process_time() - began)
     return found, longest * 1e6
 
 
+READING: list[Any] = []  # the list whose parts are coming
+
+
 def taken(directory: Any, told: Any) -> list[api.Event]:
-    """One object of discovery as events for the module. Internal: node/discovery.py."""
-    event: api.Event = directory.take(told)
-    return [event]
+    """One object of discovery, or a part of one, as events for the module. Internal: node/directory.py and
+    discovery.py."""
+    from linnetstile.codec.objects import Part
+    from linnetstile.node import discovery
+
+    if not isinstance(told, Part):
+        return [directory.take(told)]
+    if told.first:
+        READING[:] = [directory.begin(told.head)]
+    events: list[api.Event] = list(discovery.told(READING[0].take(told.elements)))
+    while told.last and not READING[0].over:
+        events += discovery.told(READING[0].sweep())
+    return events
 
 
 def bound_bytes() -> int | None:
