--- a/benchmarks/slopes/harness.py
+++ b/benchmarks/slopes/harness.py
@@ -22,7 +22,7 @@
 POINT_S = 150.0  # a point that takes longer is ended, and told as not measured
 REFERENCE_ROUNDS = 25
 LOOP = "reference_loop_us"
-DERIVED = ("a", "an", "share")  # words in the names of quantities that are not drawn: quotients of others
+UNDRAWN = ("a", "an", "share", "refused", "waited", "p99", "delivered")  # words in names: quotients, and sideshows
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +191,7 @@
     from matplotlib import pyplot
 
     shown = [(name, series, quantity, made) for name, series in result["series"].items()
-             for quantity, made in series["fits"].items() if not {*DERIVED} & {*quantity.split("_")}]
+             for quantity, made in series["fits"].items() if not {*UNDRAWN} & {*quantity.split("_")}]
     if not shown:
         return
     columns = min(4, len(shown))
