Slopes: the folder of a measured node goes with it

Need: each point with a real process left a folder of some kB behind.

Change: it is removed once the process has ended.

--- a/benchmarks/slopes/outside.py
+++ b/benchmarks/slopes/outside.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import shutil
 import socket
 import subprocess
 import sys
@@ -115,6 +116,7 @@
     def __exit__(self, kind: type[BaseException] | None, error: BaseException | None, at: TracebackType | None) -> None:
         self.process.kill()
         self.process.wait(20)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Client:
