A full hold refuses by the turn of each message, not by the length of its queue

`_make_room` judged each message by when its whole queue had drained, though `_pick` sends most worth first. And `_accept` charged what clients handed in again (2.2 to 2.8 hand-ins a request there) to its tenant's share each time, which left less of it for first tries; a repeat belongs to its first try. Held ones wait for the pace that refusals cut (439 to 531 ms) and for a destination that shut (293 to 358 ms).

Change: `decisions/room.py` says in which order and when a queue is sent; the same order chooses what is sent. A marked repeat is not charged again. The tests fail without each of the two.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -14,6 +14,7 @@
     ListKind, Message, Outcome, Rates, Recall, Refuse, Resumed, Scope, Send, SetTimer, Settings, Shared,
     TimerFired, WatchList, Withdrawn,
 )
+from .room import turns, urgency
 from .state import NEVER, Board, Call, Door, Flow, Held, Lane
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
@@ -195,7 +196,8 @@
             quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
             left = min(2 * quota, left + quota * (now - at) / 1000)
             held.worth *= 1.0 if left >= 1 else self.s.over_share_worth
-            self.shares[msg.tenant] = left - (left >= 1), now
+            charged = not (msg.again or msg.from_dead_relay)  # a repeat belongs to its first try
+            self.shares[msg.tenant] = left - (charged and left >= 1), now
         self.board.add(held)
         self._wait(held)
 
@@ -308,15 +310,17 @@
                 self._end(now, held, acts)
 
     def _make_room(self, acts: list[Action], now: float) -> None:
-        """Before the hold fills, refuses what will be worth least once its queue has drained."""
+        """Before the hold fills, refuses what will be worth least once its turn has come."""
         for _ in range(len(self.board.held) - int(CROWDED * self.s.hold)):
             queues = self.board.queues
-            drained = {dest: now + 1000 * len(queues[dest]) / self._speed(now, dest) for dest in queues}
+            at = {}
+            for dest, queue in queues.items():
+                at.update(turns(queue.values(), now, 1000 / self._speed(now, dest), self.s.decay))
             able = [each for queue in queues.values() for each in queue.values()
                     if self._may_refuse(each) and (each.tries or not each.found)]
             if able:
                 self._end(now, min(able, key=lambda held: [
-                    self._missed(held, now, at) for at in (drained[held.msg.destination], now)]), acts)
+                    self._missed(held, now, then) for then in (at[held.msg.id], now)]), acts)
 
     def _missed(self, held: Held, now: float, at: float) -> float:
         """What is lost if it is refused now and would else be delivered `at`. What comes in while there is no
@@ -609,9 +613,7 @@
                 if at > now:
                     look = min(look, at)
                     continue
-                soon = held.worth_at(now + lane.mean, self.s.decay)
-                later = held.worth_at(now + lane.mean + 1000.0, self.s.decay)
-                value = (2 * soon - later) / cost
+                value = urgency(held, now + lane.mean, self.s.decay) / cost
                 if best is None or value > best[0]:
                     door = self._door(now, held, lane)
                     best = best if door is None else (value, held, door)
--- /dev/null
+++ b/tests/decisions/test_room.py
@@ -0,0 +1,60 @@
+"""Who is refused when the hold fills: by the turn that each message would have, not by the length of its queue."""
+
+from dataclasses import replace
+
+from linnetstile.decisions import interface as api
+from linnetstile.decisions.room import turns, urgency
+from linnetstile.decisions.state import Held
+
+from ..conftest import Driver, make_settings
+
+SLOW = api.MessageClass("slow", api.Effect.SAFE, aim_ms=4000.0, deadline_ms=16000.0, late_share=0.5)
+QUICK = api.MessageClass("quick", api.Effect.SAFE, aim_ms=1500.0, deadline_ms=8000.0, worth=4.0, late_share=0.1)
+
+
+def held(ident: int, cls: api.MessageClass) -> Held:
+    return Held(api.Message(ident, 1, 0, cls.deadline_ms), cls, 0.0, cls.deadline_ms, cls.worth, 0.0, 0.0)
+
+
+def test_the_turn_goes_by_what_is_sent_first() -> None:
+    queue = [held(1, SLOW), held(2, SLOW), held(3, QUICK), held(4, replace(SLOW, worth=2.0))]
+    assert turns(queue, 1000.0, 500.0, api.Decay.HALVES) == {3: 1500.0, 4: 2000.0, 1: 2500.0, 2: 3000.0}
+    assert turns([], 0.0, 500.0, api.Decay.LINE) == {}
+
+
+def test_what_waiting_costs_most_comes_first_among_equal_worth() -> None:
+    same = replace(QUICK, worth=SLOW.worth)
+    assert urgency(held(1, same), 1400.0, api.Decay.HALVES) > urgency(held(2, SLOW), 1400.0, api.Decay.HALVES)
+
+
+def paced(**settings: object) -> Driver:
+    """Destination 1 is paced at a call a second, and has been called."""
+    d = Driver(make_settings(classes=(SLOW, QUICK), decay=api.Decay.HALVES, marks_repeats=True, **settings))
+    d.listed((11, 1), rate=2.0)
+    d.warm_up()
+    return d
+
+
+def test_a_message_that_goes_next_is_not_refused_for_the_length_of_its_queue() -> None:
+    d = paced(hold=14)
+    slow = [d.message(0, left=16000.0) for _ in range(11)]
+    assert not set(slow) & set(d.ended) and len(d.relay.board.queues[1]) > 8
+    quick = d.message(1, left=8000.0)  # the queue takes longer than this to drain, but this one is sent first
+    assert quick not in d.ended and len(set(slow) & set(d.ended)) == 1
+    d.pass_time(2500)
+    assert d.tries.get(quick) == 1
+
+
+def test_a_repeat_is_not_charged_to_its_tenant_again() -> None:
+    """Clients come again for what was refused, several times while destinations are shut: their first tries have been
+    charged, and new messages of the tenant are inside its share still."""
+    tenants = (api.Tenant("a", 4.0), api.Tenant("b", 4.0))
+    d = paced(hold=100, tenants=tenants, over_share_worth=0.1)
+    d.pass_time(3000)
+    for again, dead in ((True, False), (False, True), (True, False), (True, False), (True, False)):
+        d.ids += 1
+        d.feed(api.Message(d.ids, 1, 0, 9000.0, 0, again=again, from_dead_relay=dead))
+    new = d.message(0, left=16000.0)
+    assert d.relay.board.held[new].worth == SLOW.worth
+    more = [d.message(0, left=16000.0) for _ in range(4)]  # new ones are charged
+    assert [d.relay.board.held[ident].worth for ident in more] == [1.0, 1.0, 1.0, 0.1]
