A relay that restarts with a backlog has nothing saved up: 2,431 refusals in a second

Each new process has `BURST` calls saved up at each lane, as if it had been at rest (`_add`), and its queues are full. The refusals then cut its pace and hold it for 4 s and longer: a destination listed at 190 calls a second, which took 165 to 251 a second from the 25th second on, was sent 62 to 81 from the 20th to the 22nd, none refused, while 860 to 900 messages waited for it.

Change: a message that a restart finds untried, and that had waited for more than 2.5 s, says that the process before had nothing saved up for its destination: the lane starts with part of a call, by chance (`decisions/backlog.py`). Messages that had been out or had just come change nothing.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -8,6 +8,7 @@
 import random
 from collections import defaultdict
 
+from .backlog import saved_up
 from .connections import Places
 from .interface import (
     Action, AttemptEnded, CloseIdle, Effect, Endpoint, EndpointList, Event, Fail, Learned, Leaving, Listing,
@@ -210,6 +211,8 @@
         held.worth = held.cls.worth
         if event.risk_ms is not None:
             held.first_risk = now - event.risk_ms
+        for lane in self.lanes.get(held.msg.destination, {}).values():
+            lane.credit = saved_up(lane.credit, lane.lot, event.tries, event.age_ms)
         if event.tries:  # jittered: all that was out then would come at once
             held.ready = now + RETRY_MS * self.rng.uniform(0.0, 1.0)
         self.board.add(held)
