A relay with more than 20,000 messages open goes on answering

Cause: node/relay.py, _carry: 'while len(self.idents) > REMEMBERED' put each open identifier back, and where all are open it never ended.

Change: identifiers of open messages are all known; the bound is on those that have ended (bounds.Taken).

--- a/linnetstile/decisions/bounds.py
+++ b/linnetstile/decisions/bounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 from dataclasses import dataclass
 
 HEAD_S = 1.5  # a request is complete, or its client gets an error: the platform owes bad clients one within 3 s
@@ -17,7 +18,7 @@
 CONNECT_S = 1.0  # a watch's connection may take so long to be made: its peer is on this machine
 WATCH_MS = 50.0, 1000.0  # first and longest pause before a watch is opened anew
 POST_MS = 20.0, 500.0  # the same before notices are posted again
-REMEMBERED = 20_000  # identifiers that were taken, ended ones included: the same again is no new message
+REMEMBERED = 20_000  # identifiers of messages that have ended: the same again is no new message
 LEFT = 20_000  # destinations without an endpoint that stay known: what comes for one is held until its deadline
 RECORDS = 320  # bytes that a held message takes in the journal beside its body: fields and attempts
 BODY = 64 * 1024  # bytes, the platform's bound on a body
@@ -25,6 +26,27 @@
 LONGEST_LEFT = 4.0  # a time left beyond so many deadlines of its class is an error of the client
 
 
+class Taken:
+    """Taken that were taken: all that are open, and the latest `most` that have ended."""
+
+    def __init__(self, most: int = REMEMBERED) -> None:
+        self.most = most
+        self.open: set[str] = set()
+        self.ended: OrderedDict[str, None] = OrderedDict()
+
+    def __contains__(self, ident: str) -> bool:
+        return ident in self.open or ident in self.ended
+
+    def take(self, ident: str) -> None:
+        self.open.add(ident)
+
+    def end(self, ident: str) -> None:
+        self.open.discard(ident)
+        self.ended[ident] = None
+        if len(self.ended) > self.most:
+            self.ended.popitem(last=False)
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Counts of descriptors, and bytes on disk."""
--- a/linnetstile/node/relay.py
+++ b/linnetstile/node/relay.py
@@ -7,14 +7,13 @@
 import hashlib
 import random
 import time
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
 
 from ..decisions import interface as api
 from ..decisions import leaving
-from ..decisions.bounds import LONG_LIST_S, REMEMBERED, SETTLE_S, bounds
+from ..decisions.bounds import LONG_LIST_S, SETTLE_S, Taken, bounds
 from ..decisions.control import Relay
 from ..decisions.evidence import Proof, Sight
 from ..decisions.leftover import leftover
@@ -91,7 +90,7 @@
         self.carried: dict[int, Carried] = {}
         self.owed: dict[int, Kept] = {}  # notices
         self.behind: dict[int, api.Send] = {}  # by order: goes once the platform has the end of the one before
-        self.idents: OrderedDict[str, bool] = OrderedDict()  # taken before; True while it is open
+        self.idents = Taken()
         self.turns = Turns(self.relay, self._turn)
         self._tell = self.turns.tell
         self.fresh: list[Carried] = []  # handed in since the last turn
@@ -143,7 +142,7 @@
                 continue
             fields = each.fields
             carried = self.carried[ident] = Carried(each)
-            self.idents[carried.ident] = True
+            self.idents.take(carried.ident)
             self.journal.live += self.journal.weight(each)
             # The settings may have changed since: names go by what they are now, and what has none charges nobody.
             class_ = names.classes.get(fields["class"], len(names.classes))
@@ -232,7 +231,7 @@
 
     def _forget(self, ident: int) -> None:
         carried = self.carried.pop(ident)
-        self.idents[carried.ident] = False
+        self.idents.end(carried.ident)
         self.journal.live -= self.journal.weight(carried.kept)
 
     def _noticed(self, numbers: list[int]) -> None:
@@ -283,11 +282,7 @@
         exchange.body = b""
         self.carried[self.last] = carried
         self.journal.live += self.journal.weight(kept)
-        self.idents[hand.ident] = True
-        while len(self.idents) > REMEMBERED:
-            ident, open_ = self.idents.popitem(last=False)
-            if open_:
-                self.idents[ident] = True
+        self.idents.take(hand.ident)
         self.fresh.append(carried)
         self._tell(api.Message(self.last, hand.destination, hand.class_, left, hand.tenant, order,
                                again=hand.again, from_dead_relay=hand.from_dead))
