A destination replaced while it was quiet has its first call at once, as one in use has

Ruled out: the way of the change (the same event), the real relays alone (hollow ones did the same).

Cause: control.py, _attach: a lane made at the change had nothing saved up from the time before it, so that the cold budget of one relay of many had to grow a whole call first. A lane that was there since the start had it.

Change: what a lane that comes into use has saved up counts from the first list on. The test fails without it for a destination that had no lane, and holds for one that had.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -85,6 +85,7 @@
         self.spare: list[Door] = []  # with connections that are left idle only where there are many
         self.stale = 0.0  # part of the calls on kept connections that met a closed one
         self.end_at = float("inf")  # of this process
+        self.listed_at: float | None = None  # when its first list came: what is quiet has been so since then
         self.busy = 0
         self.timer_at = 0.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
@@ -139,6 +140,7 @@
             return
         if event.kind is not ListKind.CACHED:
             self.ask_fails, self.ask_at = 0, None
+        self.listed_at = now if self.listed_at is None else self.listed_at
         self._recall(acts, self.destinations.listed(now, event))
 
     def _attach(self, now: float, entry: Endpoint, listed: bool) -> None:
@@ -150,8 +152,10 @@
             total = rate or START * self.s.relays
             room = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
             # Of one that comes into use nothing is known: where others answer quickly, it may be a slow one.
-            lanes[key] = Lane(*(self.usual if listed else USUAL_MS), total, total / self.s.relays, BURST, now,
-                              room, entry.kind, self.rng.random(), told=rate > 0)
+            quiet = now if listed or self.listed_at is None else self.listed_at
+            mean, dev = self.usual if listed else USUAL_MS
+            lanes[key] = Lane(mean, dev, total, total / self.s.relays, BURST, quiet, room, entry.kind,
+                              self.rng.random(), told=rate > 0)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and rate and rate != lane.total:
             lane.pace, lane.total = lane.pace * rate / lane.total, rate  # keeps what was learned
--- a/tests/decisions/test_destinations.py
+++ b/tests/decisions/test_destinations.py
@@ -327,6 +327,22 @@
     assert given[0] == given[1] >= 2000.0
 
 
+@pytest.mark.parametrize("used", (True, False))
+def test_a_destination_replaced_at_once_while_quiet_has_its_first_call_at_once(used: bool) -> None:
+    """What was saved up while it was quiet counts, whether it had a lane or not: else the first message would wait for
+    the cold budget of one relay of many, longer than its time."""
+    d = Driver(make_settings(relays=400))
+    d.listed((11, 1))
+    if used:
+        d.warm_up()
+    d.pass_time(30_000, 500)
+    d.feed(changes(entry(11, 1, GONE), entry(12, 1)))
+    start, idents = d.now, [d.message(SAFE) for _ in range(4)]
+    d.pass_time(20)
+    assert [at for at, _ in d.sent if at >= start] == [start]  # the others wait: it is cold
+    assert d.relay.lanes[1][-1].cold_since == start and d.tries.get(idents[0]) == 1
+
+
 # -- the record --------------------------------------------------------------------------------------------
 
 
