--- a/linnetstile/decisions/bounds.py
+++ b/linnetstile/decisions/bounds.py
@@ -27,7 +27,7 @@
 
 
 class Taken:
-    """Taken that were taken: all that are open, and the latest `most` that have ended."""
+    """Identifiers that were taken: all that are open, and the latest `most` that have ended."""
 
     def __init__(self, most: int = REMEMBERED) -> None:
         self.most = most
--- a/linnetstile/decisions/connections.py
+++ b/linnetstile/decisions/connections.py
@@ -47,3 +47,7 @@
             self.new.add(refused and not waits)  # a told wait is a limit's, whatever the connection
         part = self.new.part
         self.short = part > ENOUGH if self.short else part > MANY and self.kept.part < FEW
+
+    def explains(self, kept: bool, waits: bool) -> bool:
+        """Whether a refusal comes from the shortage, and says nothing of a limit."""
+        return self.short and not kept and not waits and self.kept.part < FEW
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -355,11 +355,14 @@
         stale = event.reused and (sudden or event.outcome is Outcome.CONNECT_FAILED)
         if event.reused:
             self.stale += SEEN * (stale - self.stale)
+        places = self.places[door.lane.kind]
+        # Nor does one that was refused for want of a connection, where others are answered: no limit was met.
+        crowded = (event.outcome is Outcome.FULL and now - door.lane.last_ok < SHUT_MS
+                   and places.explains(event.reused, event.wait_ms > 0))
         if counts and event.outcome is Outcome.OK:
             self._answered(now, door, held, event.latency_ms)
-        elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED) and not stale:
+        elif counts and event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED) and not (stale or crowded):
             self._failed(now, door, held, event)
-        places = self.places[door.lane.kind]
         if counts and door.warm:  # it was answered
             full = event.outcome is Outcome.FULL
             places.met(event.reused, full, event.wait_ms > 0)
--- a/tests/decisions/test_connections.py
+++ b/tests/decisions/test_connections.py
@@ -100,3 +100,25 @@
 
     assert used(short=True, fee=0.02) == [11, 12, 11]
     assert used(short=False, fee=0.02) == [11, 11, 11]  # a limit is the whole destination's: no reason to pay
+
+
+def test_a_refusal_that_a_shortage_explains_does_not_cut_the_pace() -> None:
+    """1,636 refusals on new connections and none on kept ones held their senders to a cut pace for 4 s and longer."""
+    def pace(late: float = 0.0, reused: bool = False, wait: float = 0.0, short: bool = True) -> float:
+        d = Driver()
+        d.listed((11, 1))
+        d.warm_up(1)
+        for _ in range(20 if short else 0):
+            d.relay.places[0].met(kept=False, refused=True, waits=False)
+        d.pass_time(late, 50)
+        ident = d.message(SAFE)
+        d.pass_time(20)
+        send, lane = d.out.pop(ident), d.relay.lanes[1][-1]
+        before = lane.pace
+        d.feed(api.AttemptEnded(ident, 0, send.endpoint, api.Outcome.FULL, 5.0, False, wait, reused=reused))
+        return lane.pace / before
+
+    assert pace() == 1.0
+    assert pace(short=False) < 1.0  # a limit's
+    assert pace(reused=True) < 1.0 and pace(wait=500.0) < 1.0  # a shortage does not do that
+    assert pace(late=4000.0) < 1.0  # nobody was answered of late: it may be shut
