--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -569,3 +569,38 @@
         assert len(made) == 2 and made[1] == "m4"
 
     play(tmp_path, story)
+
+
+@pytest.mark.parametrize("whole", (True, False))
+def test_start_waits_for_a_list_that_is_coming_in_but_not_for_ever(tmp_path: Path, whole: bool,
+                                                                  monkeypatch: pytest.MonkeyPatch) -> None:
+    """What it has not read yet would be refused as listed nowhere: it waits longer than for a list that does not come."""
+    monkeypatch.setattr("linnetstile.node.relay.SETTLE_S", 0.3)
+    monkeypatch.setattr("linnetstile.node.relay.LONG_LIST_S", 4.0 if whole else 0.9)
+
+    async def story(world: World) -> None:
+        entries = [{**world.entries[0], "id": f"o-{number}", "cell": number} for number in range(1, 4001)]
+        line = json.dumps({"version": 5, "full": True, "servers": entries}).encode() + b"\n"
+        told = asyncio.Event()
+
+        async def slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % len(line))
+            writer.write(line[:200_000])
+            for at in range(200_000, len(line) if whole else 300_000, 50_000):
+                await asyncio.sleep(0.1 if whole else 0.2)
+                writer.write(line[at : at + 50_000])
+            if whole:
+                writer.write(b"\r\n")
+                told.set()
+            await reader.read()
+
+        began = asyncio.get_running_loop().time()
+        node = await world.node(("127.0.0.1", await world.listen(slowly)))
+        if whole:
+            assert told.is_set() and len(node.directory) == 4000
+        else:
+            assert asyncio.get_running_loop().time() - began < 3.0 and 1000 < len(node.directory) < 4000
+        assert await ask(node, hand_in("a")) == 202
+
+    play(tmp_path, story)
