--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -574,7 +574,7 @@
 @pytest.mark.parametrize("whole", (True, False))
 def test_start_waits_for_a_list_that_is_coming_in_but_not_for_ever(tmp_path: Path, whole: bool,
                                                                   monkeypatch: pytest.MonkeyPatch) -> None:
-    """What it has not read yet would be refused as listed nowhere: it waits longer than for a list that does not come."""
+    """What it has not read yet would be refused as listed nowhere: longer than for a list that does not come."""
     monkeypatch.setattr("linnetstile.node.relay.SETTLE_S", 0.3)
     monkeypatch.setattr("linnetstile.node.relay.LONG_LIST_S", 4.0 if whole else 0.9)
 
