--- a/tests/decisions/test_destinations.py
+++ b/tests/decisions/test_destinations.py
@@ -187,21 +187,27 @@
     assert d.tries[ident] == 1 and d.last(ident)[0] >= told + 2000.0
 
 
+def failing(outcome: api.Outcome) -> Driver:
+    """A destination that is well, and then answers three messages so."""
+    d = Driver()
+    d.listed((11, 1))
+    d.warm_up()
+    for _ in range(3):
+        ident = d.message(SAFE)
+        while not d.tries.get(ident):
+            d.pass_time(50, 50)
+        d.answer(ident, outcome)
+        d.feed(api.Withdrawn(ident))
+    return d
+
+
 @pytest.mark.parametrize("pause", (100.0, 60_000.0))
 def test_an_outage_is_known_over_rest_and_its_return_stays_within_the_budget(rests: None, pause: float) -> None:
     """Out, then quiet for long, then back: its first answer is followed by the part of the cold budget that one has."""
     sent = []
     for rest in (True, False):
         resting.IN_USE = 0 if rest else 2048  # the fixture's patch is undone after the test
-        d = Driver()
-        d.listed((11, 1))
-        d.warm_up()
-        for _ in range(3):
-            ident = d.message(SAFE)
-            while not d.tries.get(ident):
-                d.pass_time(50, 50)
-            d.answer(ident, api.Outcome.CONNECT_FAILED)
-            d.feed(api.Withdrawn(ident))
+        d = failing(api.Outcome.CONNECT_FAILED)
         assert d.relay.destinations.known(1)[-1][0].sick
         d.pass_time(pause, 50)
         if rest:
@@ -217,15 +223,7 @@
 
 
 def test_unsafe_messages_wait_over_rest_for_a_destination_that_is_out(rests: None) -> None:
-    d = Driver()
-    d.listed((11, 1))
-    d.warm_up()
-    for _ in range(3):
-        ident = d.message(SAFE)
-        while not d.tries.get(ident):
-            d.pass_time(50, 50)
-        d.answer(ident, api.Outcome.TIMEOUT)
-        d.feed(api.Withdrawn(ident))
+    d = failing(api.Outcome.TIMEOUT)
     failed = d.now
     quiet(d)
     ident = d.message(UNSAFE, left=20_000.0)
