A tenant's part of less than half a message a second is a share still

Ruled out: repeats (one was marked), uneven traffic alone (none at all was inside).

Cause: control.py, _accept: what a tenant saves up was bounded by two seconds of its part, quota / relays. At 0.196 and 0.43 a second that is less than one message, which needs a whole one: the more relays, the more tenants are always over their share.

Change: a whole message can be saved up, at the start as well. The test fails without it.

--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -75,7 +75,8 @@
         self.destinations = Destinations(settings, FADE_MS, self.board.queues, self._attach)
         self.lanes, self.doors = self.destinations.lanes, self.destinations.doors  # of those in use
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
-        self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
+        quotas = [tenant.quota_per_s / settings.relays for tenant in settings.tenants]
+        self.shares = [(max(1.0, 2 * quota), 0.0) for quota in quotas]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.haste = 1 / USUAL_MS[0]  # mean of 1 / latency: quick answers outweigh slow ones
         self.flow = Flow()  # answers of all destinations
@@ -178,7 +179,7 @@
         if msg.tenant < len(self.shares):
             left, at = self.shares[msg.tenant]
             quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
-            left = min(2 * quota, left + quota * (now - at) / 1000)
+            left = min(max(1.0, 2 * quota), left + quota * (now - at) / 1000)  # a message fits, if late
             held.worth *= 1.0 if left >= 1 else self.s.over_share_worth
             charged = not (msg.again or msg.from_dead_relay)  # a repeat belongs to its first try
             self.shares[msg.tenant] = left - (charged and left >= 1), now
--- a/tests/decisions/test_room.py
+++ b/tests/decisions/test_room.py
@@ -58,3 +58,15 @@
     assert d.relay.board.held[new].worth == SLOW.worth
     more = [d.message(0, left=16000.0) for _ in range(4)]  # new ones are charged
     assert [d.relay.board.held[ident].worth for ident in more] == [1.0, 1.0, 1.0, 0.1]
+
+
+def test_a_share_of_less_than_half_a_message_a_second_is_a_share_still() -> None:
+    """Of many relays each has a small part of it. Two seconds of that were saved up at most: less than one message, so
+    that every message of the tenant counted as over its share."""
+    d = paced(hold=100, relays=200, tenants=(api.Tenant("small", 40.0),), over_share_worth=0.1)
+    d.pass_time(20_000, 1000)
+    worth = []
+    for _ in range(4):  # one in 5 s is inside a share of 0.2 a second
+        worth += [d.relay.board.held[d.message(0, left=16000.0)].worth for _ in range(2)]
+        d.pass_time(5100, 100)
+    assert worth == [1.0, 0.1] * 4
