Read once more: one stand-in of discovery, one word on shares, nothing opened or looked up twice

Was there already: benchmarks/slopes/standin.py served discovery by a server of its own beside linnetstile/standins/discovery.py; it is a Source of DiscoveryStand now. Derived: what a tenant may save up stood twice in control.py; it is said where it is charged. Done twice: a resumed message opened its destination two times, and a walk over the index looked each endpoint up by the id that it had just read. Dead: Versions.takes, which only a test called; the test does the two steps itself, with the same expectations. node/discovery.py no longer hands on what node/directory.py defines, and the directory's count of destinations has a name other than the module's class.

--- a/benchmarks/slopes/standin.py
+++ b/benchmarks/slopes/standin.py
@@ -15,10 +15,9 @@
 
 from benchmarks.slopes.inside import servers
 from benchmarks.slopes.program import told
+from linnetstile.standins.discovery import DiscoveryStand
 
-CHUNK = 65536
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-BEAT_S = 2.0
 LIFE_S = 240.0
 
 
@@ -44,93 +43,54 @@
             self.transport.write(OK)
 
 
-class Standin:
+class Platform:
+    """What discovery tells (`Source`), and when calls came."""
+
     def __init__(self) -> None:
         self.entries: dict[str, dict[str, Any]] = {}
         self.version = 1
         self.log: list[tuple[int, bytes]] = []  # changes after the version that a list was set with
         self.based = 1  # the oldest version from which changes are known
-        self.whole = b""
-        self.watches: set[asyncio.StreamWriter] = set()
-        self.counts = {"wholes": 0, "since": 0, "whole_bytes": 0, "change_bytes": 0, "beats": 0, "finals": 0,
-                       "calls": 0}
+        self.line = b""  # the whole list; empty = to be made
+        self.discovery = DiscoveryStand(self)
+        self.counts = {"wholes": 0, "whole_bytes": 0, "calls": 0}
         self.at: dict[str, float] = {}  # by identifier, when its first call came, s of the monotonic clock
         self.track = False
 
     async def start(self) -> dict[str, int]:
-        loop = asyncio.get_running_loop()
-        sink = await loop.create_server(lambda: Sink(self.called), "127.0.0.1", 0, backlog=1024)
-        discovery = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.keep = sink, discovery, loop.create_task(self.beat())
-        return {"port": discovery.sockets[0].getsockname()[1], "sink": sink.sockets[0].getsockname()[1]}
+        self.sink = await asyncio.get_running_loop().create_server(
+            lambda: Sink(self.called), "127.0.0.1", 0, backlog=1024)
+        return {"port": await self.discovery.start(), "sink": self.sink.sockets[0].getsockname()[1]}
 
     def called(self, ident: str) -> None:
         self.counts["calls"] += 1
         if self.track:
             self.at.setdefault(ident, time.monotonic())
 
-    async def beat(self) -> None:
-        while True:
-            await asyncio.sleep(BEAT_S)
-            for writer in list(self.watches):
-                writer.write(b"1\r\n\n\r\n")
-                self.counts["beats"] += 1
-
-    def send(self, writer: asyncio.StreamWriter, line: bytes) -> None:
-        for at in range(0, len(line), CHUNK):
-            part = line[at : at + CHUNK]
-            writer.write(b"%x\r\n%s\r\n" % (len(part), part))
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                method, target, _ = head.split("\r\n")[0].split(" ")
-                fields = [line.lower().partition(":") for line in head.split("\r\n")]
-                await reader.readexactly(sum(int(value) for name, _, value in fields if name == "content-length"))
-                if method == "POST":
-                    self.counts["finals"] += 1
-                    writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
-                elif "follow=1" not in target:
-                    self.counts["wholes"] += 1
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.whole) + self.whole)
-                else:
-                    self.watch(writer, target)
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-            pass
-        finally:
-            self.watches.discard(writer)
-            writer.close()
-
-    def watch(self, writer: asyncio.StreamWriter, target: str) -> None:
-        since = target.partition("since=")[2].partition("&")[0]
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        if since.isdigit() and self.based <= int(since) <= self.version:
-            self.counts["since"] += 1
-            servers = [each for version, line in self.log if version > int(since)
-                       for each in json.loads(line)["servers"]]
-            self.send(writer, told(servers, self.version, False))
-        else:
-            self.whole = self.whole or told(self.entries.values(), self.version, True)
-            self.counts["wholes"] += 1
-            self.counts["whole_bytes"] += len(self.whole)
-            self.send(writer, self.whole)
-        self.watches.add(writer)
+    def whole(self) -> bytes:
+        self.line = self.line or told(self.entries.values(), self.version, True)
+        self.counts["wholes"] += 1
+        self.counts["whole_bytes"] += len(self.line)
+        return self.line
+
+    def since(self, version: int) -> bytes | None:
+        if not self.based <= version <= self.version:
+            return None
+        servers = [each for at, line in self.log if at > version for each in json.loads(line)["servers"]]
+        return told(servers, self.version, False)
 
     def change(self, servers: list[dict[str, Any]]) -> int:
         """Told to all that watch; its bytes for one of them."""
         self.version += 1
         line = told(servers, self.version, False)
         self.log.append((self.version, line))
-        for writer in self.watches:
-            self.send(writer, line)
-            self.counts["change_bytes"] += len(line)
+        self.discovery.tell(line)
         for each in servers:
             if each["state"] == "DELETED":
                 self.entries.pop(each["id"], None)
             else:
                 self.entries[each["id"]] = each
-        self.whole = b""
+        self.line = b""
         return len(line)
 
     def command(self, asked: dict[str, Any]) -> dict[str, Any]:
@@ -142,19 +102,17 @@
                     self.entries[each["id"]] = each
                 self.version += 1
                 self.based, self.log = self.version, []
-                self.whole = told(self.entries.values(), self.version, True)
-                return {"whole_bytes": len(self.whole)}
+                self.line = told(self.entries.values(), self.version, True)
+                return {"whole_bytes": len(self.line)}
             case "change":  # all in one object, to all watches; `apart`: an object each
                 at = time.monotonic()
                 parts = [[each] for each in asked["servers"]] if asked.get("apart") else [asked["servers"]]
                 size = sum(self.change(each) for each in parts)
-                return {"bytes": size, "at": at, "watches": len(self.watches)}
+                return {"bytes": size, "at": at, "watches": len(self.discovery.watches)}
             case "cut":  # every watch ends, and something changes before the next one is opened
-                watches, self.watches = self.watches, set()
+                self.discovery.drop()
                 self.change(asked["servers"])
-                self.whole = told(self.entries.values(), self.version, True)
-                for writer in watches:
-                    writer.transport.abort()
+                self.line = told(self.entries.values(), self.version, True)
                 return {}
             case "track":
                 self.track, self.at = asked["on"], {}
@@ -162,11 +120,11 @@
             case "calls":
                 return self.at
             case _:
-                return {**self.counts, "watches": len(self.watches)}
+                return self.counts
 
 
 async def main() -> None:
-    made, loop = Standin(), asyncio.get_running_loop()
+    made, loop = Platform(), asyncio.get_running_loop()
     print(json.dumps(await made.start()), flush=True)
     reader = asyncio.StreamReader(limit=1 << 26)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
--- a/linnetstile/decisions/control.py
+++ b/linnetstile/decisions/control.py
@@ -75,8 +75,7 @@
         self.destinations = Destinations(settings, FADE_MS, self.board.queues, self._attach)
         self.lanes, self.doors = self.destinations.lanes, self.destinations.doors  # of those in use
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
-        quotas = [tenant.quota_per_s / settings.relays for tenant in settings.tenants]
-        self.shares = [(max(1.0, 2 * quota), 0.0) for quota in quotas]
+        self.shares = [(float("inf"), 0.0) for _ in settings.tenants]  # as much as may be saved up
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.haste = 1 / USUAL_MS[0]  # mean of 1 / latency: quick answers outweigh slow ones
         self.flow = Flow()  # answers of all destinations
@@ -194,16 +193,17 @@
         held.worth = held.cls.worth
         if event.risk_ms is not None:
             held.first_risk = now - event.risk_ms
-        for lane in self.destinations.open(now, held.msg.destination).values():
-            lane.credit = saved_up(lane.credit, lane.lot, event.tries, event.age_ms)
         if event.tries:  # jittered: all that was out then would come at once
             held.ready = now + RETRY_MS * self.rng.uniform(0.0, 1.0)
-        self._hold(now, held)
+        for lane in self._hold(now, held).values():
+            lane.credit = saved_up(lane.credit, lane.lot, event.tries, event.age_ms)
 
-    def _hold(self, now: float, held: Held) -> None:
-        self.destinations.open(now, held.msg.destination)
+    def _hold(self, now: float, held: Held) -> dict[int, Lane]:
+        """Takes a message in; the lanes of its destination, which is in use from now on."""
+        lanes = self.destinations.open(now, held.msg.destination)
         self.board.add(held)
         self._wait(held)
+        return lanes
 
     def _wait(self, held: Held) -> None:
         """Puts a message into its queue, until a send or its last moment, whichever comes first."""
--- a/linnetstile/decisions/destinations.py
+++ b/linnetstile/decisions/destinations.py
@@ -37,10 +37,12 @@
     def listed(self, now: float, event: EndpointList) -> list[Door]:
         """Takes a list or changes in; the endpoints in use to which nothing new goes from now on."""
         ready = {entry.id: entry for entry in event.entries if entry.listing is Listing.READY}
-        named = {entry.id for entry in event.entries} if event.kind is ListKind.CHANGES else set(self.index)
-        before = [entry for entry in map(self.index.get, sorted(named)) if entry is not None]
-        gone = self._drop(now, [old for old in before
-                                if old.id not in ready or self.key(ready[old.id]) != self.key(old)])
+        if event.kind is ListKind.CHANGES:
+            known = [entry for entry in map(self.index.get, {entry.id for entry in event.entries}) if entry is not None]
+        else:
+            known = list(self.index)
+        gone = self._drop(now, sorted((old for old in known if old.id not in ready
+                                       or self.key(ready[old.id]) != self.key(old)), key=lambda old: old.id))
         for entry in ready.values():
             self._add(now, entry)
         return gone
--- a/linnetstile/decisions/lists.py
+++ b/linnetstile/decisions/lists.py
@@ -88,10 +88,3 @@
         """A list that counts has been read to its end. One that was cut tells nothing of what stood behind the cut."""
         if version is not None:  # else nothing to judge it by
             self.doubted, self.newest = False, version
-
-    def takes(self, version: int | None, whole: bool) -> bool:
-        """Both at once, for a list that has come whole."""
-        counts = self.counts(version, whole)
-        if counts:
-            self.read(version)
-        return counts
--- a/linnetstile/decisions/recall.py
+++ b/linnetstile/decisions/recall.py
@@ -45,12 +45,10 @@
     """The lanes that there are or would be, with their endpoints, and those that this relay has evidence of itself."""
     ends: dict[tuple[str, int], set[int]] = {}
     seen: set[tuple[str, int]] = set()
-    for ident in relay.destinations.index:
-        entry = relay.destinations.index.get(ident)
-        assert entry is not None
+    for entry in relay.destinations.index:
         dest, route = relay.destinations.key(entry)
         if dest in names:
-            ends.setdefault((names[dest], route), set()).add(ident)
+            ends.setdefault((names[dest], route), set()).add(entry.id)
     for dest in relay.destinations.lanes.keys() | relay.destinations.rests.keys():
         for route, (lane, _) in relay.destinations.known(dest).items() if dest in names else ():
             if lane.last_ok != NEVER or lane.failed_at != NEVER and not lane.hearsay:
--- a/linnetstile/decisions/state.py
+++ b/linnetstile/decisions/state.py
@@ -137,10 +137,10 @@
     def __len__(self) -> int:
         return self.by_id.rows
 
-    def __iter__(self) -> Iterator[int]:
-        """The ids."""
+    def __iter__(self) -> Iterator[Endpoint]:
+        """All of them. Nothing may be put or taken out meanwhile."""
         free = set(self.free)
-        return (ident for row, ident in enumerate(self.ids) if row not in free)
+        return (self._entry(row) for row in range(len(self.ids)) if row not in free)
 
     def _id_hash(self, row: int) -> int:
         return spread(self.ids[row])
--- a/linnetstile/lab/scale/hollow.py
+++ b/linnetstile/lab/scale/hollow.py
@@ -24,7 +24,7 @@
 from ...decisions.leftover import leftover
 from ...decisions.lists import watch_until
 from ...node import discovery
-from ...node.directory import Reading
+from ...node.directory import Directory, Reading
 from ...standins.discovery import chunk
 from .truth import BEGIN_MS, EMPTY_BYTES, EMPTY_MS, EACH_PER_S, KINDS, ZONES, Change, Life, World
 
@@ -40,7 +40,7 @@
     in, events for the module out."""
 
     def __init__(self) -> None:
-        self.directory = discovery.Directory(KINDS, tuple(f"z{n}" for n in range(ZONES)))
+        self.directory = Directory(KINDS, tuple(f"z{n}" for n in range(ZONES)))
         self.opened()
 
     def opened(self) -> None:
--- a/linnetstile/node/directory.py
+++ b/linnetstile/node/directory.py
@@ -70,7 +70,7 @@
     return api.Endpoint(number, destination, listing, kind, zone, rate)
 
 
-class Destinations:
+class ListedDestinations:
     """How many endpoints each destination has: 16 bytes each. Those that have none any more are remembered for a
     while."""
 
@@ -130,7 +130,7 @@
         self.used = array("I")  # by row: how often it was used before
         self.free = array("i")
         self.names = Chains(self._hash)
-        self.destinations = Destinations()
+        self.destinations = ListedDestinations()
         self.versions = Versions()
         self.skipped = 0  # entries that could not be read
 
--- a/linnetstile/node/discovery.py
+++ b/linnetstile/node/discovery.py
@@ -15,9 +15,7 @@
 from ..decisions.lists import ENTRIES, STALL_S, Asking, watch_until
 from ..net.wire import Wire
 from .config import Address
-from .directory import Directory, NoList, Place, Reading
-
-__all__ = ["Directory", "NoList", "Place", "Watch"]
+from .directory import Directory, NoList, Reading
 
 LIST = 8 * 1024 * 1024  # bytes: a longer object is no list, where it can't be read in parts
 
--- a/tests/decisions/test_destinations.py
+++ b/tests/decisions/test_destinations.py
@@ -62,7 +62,7 @@
         assert index.get(ident) == model.get(ident) and len(index) == len(model)
         assert index.at(dest) == sorted((e for e in model.values() if e.destination == dest), key=lambda e: e.id)
         assert index.destinations == len({e.destination for e in model.values()})
-    assert sorted(index) == sorted(model)
+    assert sorted(index, key=lambda e: e.id) == sorted(model.values(), key=lambda e: e.id)
 
 
 def test_index_keeps_no_object_for_an_endpoint() -> None:
--- a/tests/node/test_directory.py
+++ b/tests/node/test_directory.py
@@ -10,7 +10,7 @@
 from linnetstile.decisions import interface as api
 from linnetstile.decisions.lists import ENTRIES
 from linnetstile.node import directory as module
-from linnetstile.node.directory import Destinations, Directory, NoList, Place, Reading
+from linnetstile.node.directory import ListedDestinations, Directory, NoList, Place, Reading
 
 KINDS, ZONES = ("k", "l"), ("y", "z")
 
@@ -256,7 +256,7 @@
 
 
 def test_destinations_that_have_left_stay_known_for_a_while() -> None:
-    destinations = Destinations(3)
+    destinations = ListedDestinations(3)
     for number in range(6):
         destinations.add(number)
         destinations.add(number)
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -242,8 +242,15 @@
 
 def test_versions_take_what_is_newer_and_what_is_said_twice() -> None:
     versions = Versions()
-    assert [versions.takes(*told) for told in [(5, True), (6, False), (6, False), (4, False), (4, False), (None, True),
-                                               (4, True), (7, False), (3, True), (3, True), (4, False)]] == [
+
+    def takes(version: int | None, whole: bool) -> bool:
+        counts = versions.counts(version, whole)
+        if counts:  # and it is read to its end
+            versions.read(version)
+        return counts
+
+    assert [takes(*told) for told in [(5, True), (6, False), (6, False), (4, False), (4, False), (None, True),
+                                      (4, True), (7, False), (3, True), (3, True), (4, False)]] == [
         True, True, True, False, False, True, False, True, False, True, True]
 
 
--- a/tests/standins/test_discovery.py
+++ b/tests/standins/test_discovery.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 
 from linnetstile.decisions import interface as api
-from linnetstile.node.discovery import Directory, Watch
+from linnetstile.node.directory import Directory
+from linnetstile.node.discovery import Watch
 from linnetstile.standins.discovery import DiscoveryStand
 
 
