--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -84,10 +84,7 @@
 
 
 class Platform:
-    """Discovery (pushed lists) and the notices at one address.
-
-    While `silent`, discovery answers nothing; notices are answered at once all the same.
-    """
+    """Discovery (pushed lists) and the notices at one address; notices are answered at once, also by a slow discovery."""
 
     def __init__(self, record: Record, name: str = "platform") -> None:
         self.record = record
@@ -98,10 +95,7 @@
         self.changes: list[tuple[int, list[dict[str, Any]]]] = []
         self.watches: dict[asyncio.StreamWriter, float] = {}
         self.list_delay_s = 0.0  # a slow discovery: time until it begins to answer a request for the list
-        self.silent = False
-        self.told_again = asyncio.Event()
         self.notices: dict[str, list[tuple[float, str]]] = {}
-        self.on_request_given_up: Callable[[], None] | None = None  # a peer closed while discovery was silent
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -118,7 +112,7 @@
         return {"version": self.version, "full": True, "servers": list(self.entries.values())}
 
     def change(self, entries: list[dict[str, Any]]) -> None:
-        """Change entries; told at once to the open watches unless discovery is silent."""
+        """Change entries; told at once to the open watches."""
         self.version += 1
         self.changes.append((self.version, entries))
         for entry in entries:
@@ -126,12 +120,11 @@
                 self.entries.pop(entry["id"], None)
             else:
                 self.entries[entry["id"]] = entry
-        if not self.silent:
-            line = {"version": self.version, "full": False, "servers": entries}
-            for writer in list(self.watches):
-                self._write_line(writer, line)
-            self.record.add("list_told", by=self.name, version=self.version,
-                            changed=[[e["id"], e["state"]] for e in entries], watches=len(self.watches))
+        line = {"version": self.version, "full": False, "servers": entries}
+        for writer in list(self.watches):
+            self._write_line(writer, line)
+        self.record.add("list_changed", by=self.name, version=self.version,
+                        changed=[[e["id"], e["state"]] for e in entries], watches=len(self.watches))
 
     def _write_line(self, writer: asyncio.StreamWriter, value: dict[str, Any] | None) -> None:
         line = (json.dumps(value) if value is not None else "") + "\n"
@@ -140,9 +133,8 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(EMPTY_LINE_S)
-            if not self.silent:
-                for writer in list(self.watches):
-                    self._write_line(writer, None)
+            for writer in list(self.watches):
+                self._write_line(writer, None)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.CancelledError):  # the case has ended
@@ -160,8 +152,6 @@
                     continue
                 if self.list_delay_s and not await self._outlasts_delay(reader):
                     return
-                if self.silent and not await self._outlasts_silence(reader):
-                    return
                 if "follow=1" not in target:
                     writer.write(answer(200, body=json.dumps(self.full_list()).encode()))
                     continue
@@ -185,23 +175,6 @@
         self.record.add("given_up_before_the_list", by=self.name)
         return False
 
-    async def _outlasts_silence(self, reader: asyncio.StreamReader) -> bool:
-        """Wait until discovery is back; return False if the peer closes before."""
-        self.record.add("asked_in_silence", by=self.name)
-        closed = asyncio.ensure_future(reader.read(1))
-        back = asyncio.ensure_future(self.told_again.wait())
-        await asyncio.wait([closed, back], return_when=asyncio.FIRST_COMPLETED)
-        back.cancel()
-        if not closed.done():
-            closed.cancel()
-            return True
-        with contextlib.suppress(OSError):
-            closed.result()
-        self.record.add("given_up_in_silence", by=self.name)
-        if self.on_request_given_up:
-            self.on_request_given_up()
-        return False
-
     async def _watch(self, target: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if writer.is_closing() or reader.at_eof():
             return
@@ -222,14 +195,6 @@
             now = self.record.add("notice", **notice)
             self.notices.setdefault(notice["ref"], []).append((now, notice["result"]))
 
-    def set_silent(self, silent: bool) -> None:
-        self.silent = silent
-        if silent:
-            self.told_again.clear()
-        else:
-            self.told_again.set()
-        self.record.add("discovery_silent" if silent else "discovery_back", by=self.name)
-
     async def stop(self) -> None:
         if self.server:
             self.ticker.cancel()
