A load report that can't be read no longer loses its message and its slot

Cause: parse_load_report let RecursionError and OverflowError through, out of the callback of a call that had been taken off already, so AttemptEnded was never posted. Ruled out: the status (also behind 200, 500), the engine (300 pairs of extreme figures and outcomes leave finite rates), other readers of peers' JSON (they catch both). Change: both count as no report.

--- a/linnetstile/platform_relay/endpoint_client.py
+++ b/linnetstile/platform_relay/endpoint_client.py
@@ -50,12 +50,15 @@
 
 
 def parse_load_report(headers: http1.Headers, names: tuple[str, ...]) -> tuple[float, ...]:
-    """Return the values of a load report in the order of `names`; empty without a valid report."""
+    """Return the values of a load report in the order of `names`; empty without a valid report.
+
+    It raises nothing, whatever the endpoint sends: the answer that carries the report still ends its attempt.
+    """
     text = headers.get("x-backend-load") if names else ""
     try:
         report = json.loads(text) if text else {}
         values = tuple(float(report[name]) for name in names)
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError, OverflowError):  # nested too deeply; beyond any float
         return ()
     return values if all(map(math.isfinite, values)) else ()
 
--- a/linnetstile/platform_relay/process.py
+++ b/linnetstile/platform_relay/process.py
@@ -160,7 +160,11 @@
 
 
 def _log_fault(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-    """Log an exception in a callback of the event loop. The message concerned stays pending until its deadline."""
+    """Log an exception in a callback of the event loop.
+
+    A message concerned stays pending until its deadline. If it had an attempt in flight, the engine never learns how
+    that attempt ended: the message gets no result, and its slot is not free again.
+    """
     log(log_events.FAULT, why=context.get("message", ""), error=repr(context.get("exception")))
 
 
