A connection is idle for 50 ms before its reuse: no second copy ends another call

Ruled out: copies that come with their response (found as surplus bytes), restarts (none). Lines: client_pool.py _send_on_idle_connection took a connection whose response had just been read; abort_if_unsolicited_input sees only what has arrived. Change: MIN_IDLE_MS, the 50 ms that the protocol allows for times on sockets; a call that finds only younger connections waits for the oldest, one call an address, others open one.

--- a/benchmarks/as2_load.py
+++ b/benchmarks/as2_load.py
@@ -97,7 +97,7 @@
         self.address = ("127.0.0.1", port)
         self.timeout_s = timeout_s
         self._loop = asyncio.get_running_loop()
-        self._pool = client.ConnectionPool()
+        self._pool = client.ConnectionPool(min_idle_s=0.0)  # the load has to be offered without delay
 
     def submit(self, request: bytes, on_answer: Callable[[client.CallResult], None]) -> None:
         """Send a request; `on_answer` is called with its answer."""
--- a/linnetstile/emulators/client.py
+++ b/linnetstile/emulators/client.py
@@ -50,7 +50,7 @@
         self._rng = random.Random(spec.seed + 1)
         self._loop = asyncio.get_running_loop()
         self._start_ms = spec.t0_ms if spec.t0_ms is not None else now_ms()
-        self._pool = client.ConnectionPool(connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._pool = client.ConnectionPool(connect_timeout_s=CONNECT_TIMEOUT_S, min_idle_s=0.0)
         self._builder = MessageBuilder(spec, run_tag=f"{spec.seed:x}.{int(self._start_ms):x}")
         self._server = server.Server(self._receipt_arrived)
         self._port = 0
--- a/linnetstile/emulators/partner_environment.py
+++ b/linnetstile/emulators/partner_environment.py
@@ -30,7 +30,7 @@
         self.rng = random.Random(spec.seed)
         self.recorder = Recorder(spec.record)
         self.script_start_ms = spec.t0_ms if spec.t0_ms is not None else now_ms()
-        self.pool = client.ConnectionPool()
+        self.pool = client.ConnectionPool(min_idle_s=0.0)
         has_forgery = any(fault.kind is FaultKind.FORGED_RECEIPT for fault in spec.faults)
         self.forger = cms.generate_identity("nobody") if has_forgery else None
 
--- a/linnetstile/engine/connection_policy.py
+++ b/linnetstile/engine/connection_policy.py
@@ -18,6 +18,9 @@
 LIMITED_THRESHOLD = 0.04
 # Fraction of the idle time-out within which an idle connection is reused; below 1, as the peer's clock may be ahead.
 IDLE_REUSE_FRACTION = 0.9
+# Time for which a connection is idle before it is reused: a second copy right behind a response arrives within it. The
+# platform allows as much for every time that is measured on sockets.
+MIN_IDLE_MS = 50.0
 # A reused connection that is reset within this fraction of the mean latency was already closed before the call.
 STALE_RESET_FRACTION = 0.3
 # Stale ratio above which the last byte of non-idempotent messages is delayed.
--- a/linnetstile/net/client_call.py
+++ b/linnetstile/net/client_call.py
@@ -68,6 +68,9 @@
         self.on_done: Callable[[CallResult], None] | None = on_done
         self.connection: ClientConnection | None = None
         self.connecting: asyncio.Task[None] | None = None
+        # An idle connection that is reserved for this call, and the timer of its reuse.
+        self.reserved: ClientConnection | None = None
+        self.reuse_timer: asyncio.TimerHandle | None = None
         self.reused_connection = False
         self.last_byte_delay_s = last_byte_delay_s
         self.send_before = send_before  # loop time, s
@@ -97,7 +100,8 @@
         """End the call now.
 
         Args:
-            result: The result if the complete request was sent; else it is `NO_CONNECTION` or `REQUEST_INCOMPLETE`.
+            result: The result if the complete request was sent; else it is `NOT_SENT`, `NO_CONNECTION` or
+                `REQUEST_INCOMPLETE`.
         """
         self._end(self._unsent_result() or result)
 
@@ -111,6 +115,8 @@
 
         Ending the call closes the connection, so the peer never receives the rest of the request.
         """
+        if self.reserved is not None:
+            return WireResult.NOT_SENT
         if self.connecting:
             return WireResult.NO_CONNECTION
         if self.connection is not None and self.connection.request_incomplete:
@@ -121,6 +127,7 @@
         """End the call and close its connection: a connection with a request in flight can't be reused."""
         if self.connecting:
             self.connecting.cancel()
+        self._release_reserved()
         connection, self.connection = self.connection, None
         first_line_status = 0
         if connection:
@@ -128,3 +135,11 @@
             first_line_status = connection.parser.first_line_status
             connection.transport.abort()
         self.finish(result, first_line_status=first_line_status)
+
+    def _release_reserved(self) -> None:
+        """Return the reserved connection to its pool: this call sent nothing on it."""
+        reserved, self.reserved = self.reserved, None
+        if self.reuse_timer:
+            self.reuse_timer.cancel()
+        if reserved is not None:
+            reserved.pool.return_reserved(reserved)
--- a/linnetstile/net/client_pool.py
+++ b/linnetstile/net/client_pool.py
@@ -10,6 +10,7 @@
 
 from ..codec import http1
 from ..engine.attempt_outcome import WireResult
+from ..engine.connection_policy import MIN_IDLE_MS
 from .client_call import Address, Call, CallResult, RequestBytes, TlsParameters
 from .client_connection import ClientConnection
 from .connector import HandshakeError, open_connection
@@ -34,9 +35,23 @@
     grace_s: float = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """What a call sends, and to whom."""
+
+    address: Address
+    method: str
+    data: RequestBytes
+    tls: TlsParameters | None
+
+
 class ConnectionPool:
     """Open connections by address; idle ones are reused, the newest first.
 
+    A connection is reused only after it has been idle for a while. HTTP/1.1 matches responses with requests by their
+    order alone, so surplus bytes of a peer right behind its response, such as a second copy of it, would be taken for
+    the response to the next request. Bytes that arrive while the connection is idle end it instead.
+
     Attributes:
         idle_connections: Connections without a call, which can be reused.
         connections: All open connections.
@@ -52,6 +67,7 @@
         on_connection_evicted: Callable[[ClientConnection, str], None] | None = None,
         finish_at_status_line: bool = False,
         max_idle: int = UNLIMITED_IDLE,
+        min_idle_s: float = MIN_IDLE_MS / 1000,
     ) -> None:
         """Start an empty pool on the running event loop.
 
@@ -65,7 +81,11 @@
             finish_at_status_line: Whether a call ends as soon as the status line of a 200 was received; for peers
                 whose status is final whatever follows.
             max_idle: Maximum number of idle connections; the oldest is closed first.
+            min_idle_s: Time in seconds for which a connection is idle before it is reused.
         """
+        self.min_idle_s = min_idle_s
+        self.is_closed = False
+        self._awaited_addresses: set[Address] = set()  # those of the reserved connections
         self.finish_at_status_line = finish_at_status_line
         self.max_idle = max_idle
         self.loop = asyncio.get_running_loop()
@@ -113,54 +133,87 @@
         call = Call(on_done, last_byte_delay_s, send_before)
         if timeout_at is not None:
             call.timer = self.loop.call_at(timeout_at, call.abort, WireResult.TIMED_OUT)
-        if not self._send_on_idle_connection(call, address, method, data, uses_tls=tls is not None):
-            call.connecting = self.loop.create_task(self._send_on_new_connection(call, address, method, data, tls))
+        self._start(call, _Request(address, method, data, tls))
         return call
 
-    def _send_on_idle_connection(
-        self, call: Call, address: Address, method: str, data: RequestBytes, uses_tls: bool
-    ) -> bool:
+    def _start(self, call: Call, request: _Request) -> None:
+        """Send the call on an idle connection, wait until one may be reused, or open a connection.
+
+        Waiting takes no longer than opening a connection usually does, and saves the peer a connection. Only one call
+        waits for each address, so that the pool grows to the connections that its load needs.
+        """
+        if self._send_on_idle_connection(call, request):
+            return
+        is_awaited = request.address in self._awaited_addresses
+        reserved = None if is_awaited else self.idle_connections.take_oldest(request.address)
+        if reserved is None:
+            call.connecting = self.loop.create_task(self._send_on_new_connection(call, request))
+            return
+        self._awaited_addresses.add(request.address)
+        call.reserved = reserved
+        call.reuse_timer = self.loop.call_at(reserved.idle_since + self.min_idle_s, self._reuse, call, request)
+
+    def _reuse(self, call: Call, request: _Request) -> None:
+        """Send the call on the connection that was reserved for it."""
+        reserved, call.reserved = call.reserved, None
+        assert reserved is not None, "the timer is cancelled when the reserved connection is released"
+        if self.is_closed or self.loop.time() > call.send_before:
+            self.return_reserved(reserved)
+            call.finish(WireResult.NOT_SENT)
+            return
+        self._awaited_addresses.discard(request.address)
+        if not self._send_on_reused(reserved, call, request):
+            self._start(call, request)
+
+    def _send_on_idle_connection(self, call: Call, request: _Request) -> bool:
         """Send the call on the newest usable idle connection; return False if there is none."""
-        while connection := self._take_idle_connection(call, address):
-            # Under TLS the unread input may be records without application data.
-            if connection.is_closing or (not uses_tls and connection.abort_if_unsolicited_input()):
-                continue
-            if connection.send(call, method, data):
-                self.counts["reused"] += 1
-                call.reused_connection = True
+        while connection := self._take_idle_connection(call, request.address):
+            if self._send_on_reused(connection, call, request):
                 return True
             # No byte was sent, so using another connection does not make a second attempt.
         return False
 
+    def _send_on_reused(self, connection: ClientConnection, call: Call, request: _Request) -> bool:
+        """Send the call on a connection that was idle; return False if no byte was sent."""
+        # Under TLS the unread input may be records without application data.
+        if connection.is_closing or (request.tls is None and connection.abort_if_unsolicited_input()):
+            return False
+        if not connection.send(call, request.method, request.data):
+            if not connection.is_closing:
+                self._add_idle(connection)  # too late for this call, but usable by another one
+            return False
+        self.counts["reused"] += 1
+        call.reused_connection = True
+        return True
+
     def _take_idle_connection(self, call: Call, address: Address) -> ClientConnection | None:
-        """Remove and return the newest idle connection; None if there is none or the call's `send_before` is past."""
-        if self.loop.time() > call.send_before:
+        """Remove and return the newest connection that may be reused; None without one or after `send_before`."""
+        now = self.loop.time()
+        if now > call.send_before:
             return None
-        return self.idle_connections.take_newest(address)
+        return self.idle_connections.take_newest(address, now - self.min_idle_s)
 
-    async def _send_on_new_connection(
-        self, call: Call, address: Address, method: str, data: RequestBytes, tls: TlsParameters | None
-    ) -> None:
+    async def _send_on_new_connection(self, call: Call, request: _Request) -> None:
         self.counts["connects"] += 1
         failure = WireResult.NO_CONNECTION
         try:
             async with asyncio.timeout(min(self.connect_timeout_s, call.send_before - self.loop.time())):
                 try:
-                    connection = await self._open(address, tls)
+                    connection = await self._open(request.address, request.tls)
                 except OSError as error:
                     if error.errno not in NO_DESCRIPTORS_ERRNOS:
                         raise
                     # A lack of file descriptors in this process says nothing about the peer.
                     failure = WireResult.NOT_SENT
                     await self._free_descriptors()
-                    connection = await self._open(address, tls)
+                    connection = await self._open(request.address, request.tls)
         except (OSError, TimeoutError):
             self._finish_unconnected(call, failure)
             return
         call.connecting = None
         if call.on_done is None:
             connection.transport.close()
-        elif not connection.send(call, method, data):
+        elif not connection.send(call, request.method, request.data):
             if not connection.is_closing:
                 self.keep_idle(connection)  # too late for this call, but usable by another one
             call.finish(WireResult.NOT_SENT)
@@ -194,8 +247,17 @@
         return connection
 
     def keep_idle(self, connection: ClientConnection) -> None:
-        """Keep an open connection that has no call, so that a later call can use it."""
+        """Keep an open connection whose call has ended, so that a later call can use it."""
         connection.idle_since = self.loop.time()
+        self._add_idle(connection)
+
+    def return_reserved(self, connection: ClientConnection) -> None:
+        """Put back an idle connection that was reserved for a call and not used."""
+        self._awaited_addresses.discard(connection.address)
+        if not connection.is_closing:
+            self._add_idle(connection)
+
+    def _add_idle(self, connection: ClientConnection) -> None:
         self.idle_connections.add(connection)
         if self.idle_connections.count > self.max_idle:
             self._close(self.idle_connections.oldest())
@@ -235,6 +297,7 @@
 
     def close(self) -> None:
         """Abort all connections, including those with a call, and stop the periodic checks."""
+        self.is_closed = True
         self._sweep_timer.cancel()
         for connection in list(self.connections):
             connection.transport.abort()
--- a/linnetstile/net/idle_connections.py
+++ b/linnetstile/net/idle_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from typing import TYPE_CHECKING
 
 from .client_call import Address
@@ -10,11 +11,15 @@
     from .client_connection import ClientConnection
 
 
+def _idle_since(connection: ClientConnection) -> float:
+    return connection.idle_since
+
+
 class IdleConnections:
     """The connections without a call; closing them is left to the pool.
 
     Attributes:
-        by_address: The idle connections to each address, the newest last.
+        by_address: The idle connections to each address, in the order of their `idle_since`: the newest last.
         count: Number of idle connections to all addresses.
     """
 
@@ -23,17 +28,26 @@
         self.count = 0
 
     def add(self, connection: ClientConnection) -> None:
-        """Add a connection as the newest one to its address."""
-        self.by_address.setdefault(connection.address, []).append(connection)
+        """Add a connection that is idle since its `idle_since`."""
+        insort(self.by_address.setdefault(connection.address, []), connection, key=_idle_since)
         self.count += 1
 
-    def take_newest(self, address: Address) -> ClientConnection | None:
-        """Remove and return the newest connection to an address; None if there is none."""
+    def take_newest(self, address: Address, idle_before: float) -> ClientConnection | None:
+        """Remove and return the newest connection to an address that is idle since `idle_before` or earlier."""
+        connections = self.by_address.get(address, [])
+        for position in reversed(range(len(connections))):
+            if connections[position].idle_since <= idle_before:
+                self.count -= 1
+                return connections.pop(position)
+        return None
+
+    def take_oldest(self, address: Address) -> ClientConnection | None:
+        """Remove and return the oldest connection to an address; None if there is none."""
         connections = self.by_address.get(address)
         if not connections:
             return None
         self.count -= 1
-        return connections.pop()
+        return connections.pop(0)
 
     def take_all(self, address: Address) -> list[ClientConnection]:
         """Remove and return all connections to an address."""
@@ -53,7 +67,7 @@
     def oldest(self) -> ClientConnection:
         """Return the connection that has been idle the longest; at least one must be idle."""
         oldest_by_address = (connections[0] for connections in self.by_address.values() if connections)
-        return min(oldest_by_address, key=lambda connection: connection.idle_since)
+        return min(oldest_by_address, key=_idle_since)
 
     def idle_since_before(self, time_s: float) -> list[ClientConnection]:
         """Return the connections that have been idle since before this loop time."""
--- a/linnetstile/testbed/scale/comparison_bench.py
+++ b/linnetstile/testbed/scale/comparison_bench.py
@@ -63,7 +63,7 @@
         self.relays: list[RelayProcess] = []
         self.discoveries: list[DiscoveryEmulator] = []
         self.endpoints: list[server.Server] = []
-        self.pool = client.ConnectionPool()
+        self.pool = client.ConnectionPool(min_idle_s=0.0)
         self._arrivals: dict[str, asyncio.Future[str]] = {}  # by message: its port or `NO_ENDPOINT`
         self._sent = 0
 
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -241,3 +241,71 @@
         call.cancel_if_unsent()  # has no effect on a call that has ended
 
     run_scenario(scenario)
+
+
+def run_scenario_with_idle_connection(
+    scenario: Callable[[ScriptedPeer, client.ConnectionPool, client.Address], Awaitable[None]], min_idle_s: float
+) -> None:
+    """Run a scenario that starts with one connection, which has just become idle."""
+
+    async def run_first_request(peer: ScriptedPeer, pool: client.ConnectionPool, address: client.Address) -> None:
+        pool.min_idle_s = min_idle_s
+        assert (await send_request(pool, address)).wire_result is WireResult.ANSWERED
+        await scenario(peer, pool, address)
+
+    run_scenario(run_first_request)
+
+
+def test_connection_is_reused_only_after_it_has_been_idle_for_a_while() -> None:
+    async def scenario(peer: ScriptedPeer, pool: client.ConnectionPool, address: client.Address) -> None:
+        (connection,) = pool.idle_connections.by_address[address]
+        may_be_reused_at = connection.idle_since + 0.1
+        assert (await send_request(pool, address)).reused_connection
+        assert connection.call_started_at >= may_be_reused_at
+        assert peer.connections == 1
+
+    run_scenario_with_idle_connection(scenario, min_idle_s=0.1)
+
+
+def test_surplus_response_during_the_wait_ends_the_connection_and_the_call_uses_another_one() -> None:
+    """Guards against a response that is matched with the next call: the copy arrives while that call waits."""
+
+    async def scenario(peer: ScriptedPeer, pool: client.ConnectionPool, address: client.Address) -> None:
+        pool.loop.call_later(0.05, peer.writers[0].write, b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        answer = await send_request(pool, address)
+        assert answer.head is not None
+        assert answer.head.status == 200
+        assert not answer.reused_connection
+        assert peer.complete_requests == 2
+
+    run_scenario_with_idle_connection(scenario, min_idle_s=0.1)
+
+
+def test_one_call_waits_for_an_idle_connection_and_others_open_new_ones() -> None:
+    async def scenario(peer: ScriptedPeer, pool: client.ConnectionPool, address: client.Address) -> None:
+        answers = await asyncio.gather(*(send_request(pool, address) for _ in range(3)))
+        assert [answer.reused_connection for answer in answers] == [True, False, False]
+        assert peer.connections == 3
+
+    run_scenario_with_idle_connection(scenario, min_idle_s=0.1)
+
+
+@pytest.mark.parametrize("ending", ["cancelled", "timed out", "send_before has passed", "pool closed"])
+def test_call_that_ends_while_it_waits_for_an_idle_connection_was_not_sent(ending: str) -> None:
+    async def scenario(peer: ScriptedPeer, pool: client.ConnectionPool, address: client.Address) -> None:
+        answered: asyncio.Future[client.CallResult] = pool.loop.create_future()
+        send_before = pool.loop.time() + (0.05 if ending == "send_before has passed" else 9.0)
+        call = pool.call(address, "POST", REQUEST, answered.set_result, send_before=send_before)
+        if ending == "cancelled":
+            call.cancel_if_unsent()
+        elif ending == "timed out":
+            call.abort(WireResult.TIMED_OUT)
+        elif ending == "pool closed":
+            pool.close()
+        assert (await answered).wire_result is WireResult.NOT_SENT
+        assert peer.complete_requests == 1
+        if ending != "pool closed":
+            assert pool.idle_count == 1
+            assert (await send_request(pool, address)).reused_connection
+
+    run_scenario_with_idle_connection(scenario, min_idle_s=0.1)
--- a/tests/platform_relay/test_call_races.py
+++ b/tests/platform_relay/test_call_races.py
@@ -173,6 +173,7 @@
         relay = await testbed.start_relay()
         assert await request_status(relay, submission("first")) == 202
         await wait_until(lambda: is_idle(relay) and relay.endpoint_client.pool.idle_count)
+        await asyncio.sleep(relay.endpoint_client.pool.min_idle_s)  # from now on the connection may be reused
         (endpoint_id,) = relay.directory
         address = relay.directory.address_of(endpoint_id)
         assert address is not None
