A slow discovery is heard: a request stays open while the next ones are tried

Lines: discovery.py _run_watch closed a watch without a byte at FIRST_ELEMENT_S. Ruled out: a longer or growing bound, since two lost watches would not be made up for in 6 s (test_watch_timing). Change: up to 3 requests without a byte stay open, sent at the same times as before; the first byte closes the others.

--- a/linnetstile/engine/watch_policy.py
+++ b/linnetstile/engine/watch_policy.py
@@ -19,13 +19,19 @@
 nothing at all. In b) this holds for a list that arrives within 0.65 s (some 30,000 endpoints): the last entries of a
 longer one are late. If `WATCH_SILENCE_S` counted from the head in b), the second watch could last until 6.25 s where
 its head is late, which is too late.
+
+A watch without any byte after `FIRST_ELEMENT_S` is lost, or discovery is slow or down. The next one is opened while the
+request of the earlier one stays open, and the first one that is answered counts. So a lost watch costs no more time
+than in the table, and a slow discovery is heard as well: the oldest request stays open until two more were silent for
+`FIRST_ELEMENT_S` each, which is 3.1 to 3.3 s at first and 4.5 to 6 s with the longest backoff.
 """
 
 from __future__ import annotations
 
 WATCH_SILENCE_S = 2.6  # silence after which a watch is opened again: an empty line comes every 2 s
 ELEMENT_STALL_S = 0.5  # silence allowed within an element: its change ages from the start of the element
-FIRST_ELEMENT_S = 1.0  # silence allowed before useful data; beyond it, discovery is down or not reached
+FIRST_ELEMENT_S = 1.0  # silence before useful data, after which another watch is opened
+MAX_UNANSWERED_WATCHES = 3  # watches that are open at once without any byte of an answer
 # Batch sizes: at some 10 us an endpoint and 0.1 us a row, one batch of either takes less than the few ms that a client
 # notices, and a list of the usual size is a single batch.
 ENTRIES_PER_EVENT = 256  # endpoints that are passed to the engine in one event
--- a/linnetstile/platform_relay/discovery.py
+++ b/linnetstile/platform_relay/discovery.py
@@ -1,8 +1,9 @@
 """Keeps a watch of discovery open and publishes the endpoint list and its changes to the engine.
 
 `watch_connection` reads one watch. This module opens watches one after the other and closes a watch that has been
-silent for too long. `engine/watch_policy.py` decides whether a watch requests the full list, and how long it may be
-silent.
+silent for too long. A request without any byte of an answer stays open while the next watch is tried, as discovery may
+be slow. `engine/watch_policy.py` decides whether a watch requests the full list, how long it may be silent, and how
+many requests may be open.
 """
 
 from __future__ import annotations
@@ -15,7 +16,13 @@
 from ..codec import http1
 from ..engine.events import Endpoint, EndpointList, EndpointStatus, ListKind
 from ..engine.resource_limits import WATCH_BACKOFF_MS, WATCH_CONNECT_TIMEOUT_S, backoff_ms
-from ..engine.watch_policy import ELEMENT_STALL_S, ENTRIES_PER_EVENT, ResumePolicy, watch_deadline
+from ..engine.watch_policy import (
+    ELEMENT_STALL_S,
+    ENTRIES_PER_EVENT,
+    MAX_UNANSWERED_WATCHES,
+    ResumePolicy,
+    watch_deadline,
+)
 from . import log_events
 from .config import Address
 from .directory import Directory
@@ -52,6 +59,7 @@
         log: Writes log events.
         max_list_bytes: Maximum size of a JSON value that cannot be read in parts.
         connection: The connection of the current watch; None if there is none.
+        unanswered: Connections whose request has no byte of an answer yet, the oldest first.
         task: The task that opens watches; None before `start`.
         resume_policy: Decides whether the next watch requests the full list or resumes from a version.
         first_list_read: Set once a list has been read to its end.
@@ -78,12 +86,14 @@
         self.log = log
         self.max_list_bytes = max_list_bytes
         self.connection: WatchConnection | None = None
+        self.unanswered: list[WatchConnection] = []
         self.task: asyncio.Task[None] | None = None
         self.resume_policy = ResumePolicy()
         self.first_list_read = asyncio.Event()
         self.failures = 0
         self.watches_opened = 0
         self.lists_rejected = 0
+        self._late_answer: asyncio.Future[WatchConnection] = self.loop.create_future()
 
     @property
     def is_reading_list(self) -> bool:
@@ -109,9 +119,25 @@
         if self.connection:
             self.connection.close()
         self.connection = None
+        self._close_unanswered()
+        if self._late_answer.done():
+            self._late_answer.result().close()
+            self._late_answer = self.loop.create_future()
 
     # -- called by the connection (`WatchListener`) ----------------------------------------------------------
 
+    def answered(self, connection: WatchConnection) -> None:
+        """Keep only this watch: two that read lists at once would mix them."""
+        if self._late_answer.done():  # another one was answered while this one was being opened
+            connection.close()
+            return
+        self.unanswered = [other for other in self.unanswered if other is not connection]
+        self._close_unanswered()
+        if connection is not self.connection:
+            if self.connection:
+                self.connection.close()
+            self._late_answer.set_result(connection)
+
     def publish(self, entries: Iterable[Endpoint]) -> None:
         """Pass changed endpoints to the engine."""
         for event in change_events(entries):
@@ -151,8 +177,12 @@
             connection = None
             is_useful = False
             try:
-                connection = await self._connect()
-                await self._run_watch(connection)
+                connection = self._take_late_answer() or await self._open()
+                if not self._late_answer.done():
+                    await self._run_watch(connection)
+                if self._late_answer.done():  # an earlier watch was answered before this one
+                    connection.close()
+                    continue
                 is_useful = connection.is_useful
                 if is_useful and connection.is_valid and (connection.list_received or not connection.is_mid_element):
                     self.failures = 0
@@ -160,7 +190,38 @@
                 pass
             self._connection_ended(connection, is_useful)
             self.failures += 1
-            await asyncio.sleep(backoff_ms(self.failures, WATCH_BACKOFF_MS, self.rng) / 1000)
+            await asyncio.wait(
+                [self._late_answer], timeout=backoff_ms(self.failures, WATCH_BACKOFF_MS, self.rng) / 1000
+            )
+
+    def _take_late_answer(self) -> WatchConnection | None:
+        """Return the earlier watch that was answered while or after the next one was tried; None if there is none."""
+        if not self._late_answer.done():
+            return None
+        connection = self._late_answer.result()
+        self._late_answer = self.loop.create_future()
+        return connection
+
+    async def _open(self) -> WatchConnection:
+        """Connect to discovery and send the request of a watch.
+
+        Raises:
+            OSError, TimeoutError, ValueError: Discovery cannot be reached.
+        """
+        self._close_unanswered(keep_newest=MAX_UNANSWERED_WATCHES - 1)
+        self.connection = connection = await self._connect()
+        self.unanswered.append(connection)
+        self.watches_opened += 1
+        self._send_request(connection)
+        return connection
+
+    def _close_unanswered(self, keep_newest: int = 0) -> None:
+        """Close the unanswered watches but the newest ones."""
+        open_connections = [connection for connection in self.unanswered if not connection.closed.done()]
+        self.unanswered = open_connections[len(open_connections) - keep_newest :] if keep_newest else []
+        for connection in open_connections:
+            if connection not in self.unanswered:
+                connection.close()
 
     async def _connect(self) -> WatchConnection:
         """Open a connection for the next watch.
@@ -188,10 +249,8 @@
             self.log(log_events.LIST_TRUNCATED, entries=entries, why="the watch ended before the end of the list")
 
     async def _run_watch(self, connection: WatchConnection) -> None:
-        """Send the request of a watch; return once its connection has ended or has been silent for too long."""
+        """Wait until a watch has ended or has been silent for too long; a request without an answer stays open."""
         self.connection = connection
-        self.watches_opened += 1
-        self._send_request(connection)
         requested_at = self.loop.time()
         while not connection.closed.done():
             now = self.loop.time()
@@ -199,7 +258,9 @@
             # Past the deadline, discovery is down or unreachable over this connection. While a step is scheduled, the
             # connection still has received input to process, so it stays open.
             if deadline <= now and not connection.step_scheduled:
-                connection.close()
+                if connection.is_answered:
+                    connection.close()
+                self.connection = None
                 return
             # Received bytes move the deadline, and an element may begin and stall during the wait, so the deadline is
             # checked at least every ELEMENT_STALL_S.
--- a/linnetstile/platform_relay/watch_connection.py
+++ b/linnetstile/platform_relay/watch_connection.py
@@ -24,6 +24,9 @@
 class WatchListener(Protocol):
     """Receives the endpoints and lists that a watch connection has read."""
 
+    def answered(self, connection: WatchConnection) -> None:
+        """Record that the first bytes of a response have arrived; called before they are processed."""
+
     def publish(self, entries: Iterable[Endpoint]) -> None:
         """Pass changed endpoints to the engine."""
 
@@ -53,6 +56,7 @@
     Attributes:
         resume_version: Version from which the watch resumes; None if it requests the full list.
         last_byte_at: Loop time (s) at which the last bytes were received, or at which the last scheduled step ran.
+        is_answered: Whether any byte of the response has arrived.
         incomplete_since: Loop time (s) since which an element has been incomplete; None between elements.
         head_received: Whether the head of a successful response has arrived.
         list_received: Whether a list has been read to its end.
@@ -75,6 +79,7 @@
         self._parser.expect_response("GET")
         self._objects = JsonStreamReader(max_list_bytes, ENTRIES_KEY, KEYS_BEFORE_ENTRIES)
         self.last_byte_at = self._loop.time()
+        self.is_answered = False
         self.incomplete_since: float | None = None
         self.head_received = False
         self.list_received = False
@@ -103,6 +108,11 @@
         if self.closed.done():
             return
         self.last_byte_at = self._loop.time()
+        if not self.is_answered:
+            self.is_answered = True
+            self._listener.answered(self)
+            if self.closed.done():
+                return
         try:
             self._parse(self._parser.feed(data))
             if self._parser.error:
--- a/tests/platform_relay/virtual_time.py
+++ b/tests/platform_relay/virtual_time.py
@@ -64,6 +64,7 @@
         now: Virtual time, s.
         responses: The responses to the next requests, one each.
         requests: Time and path of each request.
+        transports: The connections, in the order in which they were opened.
     """
 
     def __init__(self, responses: list[TimedResponse]) -> None:
@@ -71,6 +72,7 @@
         self.now = 0.0
         self.responses = responses
         self.requests: list[tuple[float, str]] = []
+        self.transports: list[ScriptedTransport] = []
         select = self._selector.select  # type: ignore[attr-defined]
 
         def advance_time(timeout: float | None) -> Any:
@@ -84,8 +86,14 @@
     def time(self) -> float:
         return self.now
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections that are open."""
+        return sum(not transport.closing for transport in self.transports)
+
     async def create_connection(self, factory: Any, *address: Any, **options: Any) -> Any:  # type: ignore[override]
         protocol = factory()
         transport = ScriptedTransport(self, protocol)
+        self.transports.append(transport)
         protocol.connection_made(transport)
         return transport, protocol
