A play's script starts once all processes are ready, however slowly they start

Change: t0_ms .inf, the player tells the start over standard input; the gossip token is drawn at random, as the start is not known yet.

--- a/linnetstile/cli/standin.py
+++ b/linnetstile/cli/standin.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
+import math
 import signal
+import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -13,12 +16,19 @@
 
 
 @click.group(
-    help="Run an emulator from a settings file (YAML). Each prints its ports in one JSON line and ends on SIGTERM."
+    help="Run an emulator from a settings file (YAML). Each prints its ports in one JSON line and ends on SIGTERM. "
+    "With `t0_ms: .inf` it then reads the start of its script (ms by the clock of the run) from standard input."
 )
 def command() -> None:
     """Run an emulator from its settings file."""
 
 
+async def _await_script_start(start_ms: float | None, start_script: Callable[[float], None]) -> None:
+    """If the settings leave the start of the script open, read it from a line of standard input."""
+    if start_ms is not None and math.isinf(start_ms):
+        start_script(float(await asyncio.to_thread(sys.stdin.readline)))
+
+
 async def _until_stopped() -> None:
     """Wait for SIGTERM or SIGINT."""
     stop = asyncio.Event()
@@ -38,6 +48,7 @@
     async def run() -> None:
         emulator = PartnerEmulator(spec)
         click.echo(json.dumps({"ports": await emulator.start()}))
+        await _await_script_start(spec.t0_ms, emulator.start_script)
         await _until_stopped()
         emulator.close()
         await asyncio.sleep(0)  # lets the ends of its connections be recorded before the loop stops
@@ -56,6 +67,7 @@
     async def run() -> None:
         emulator = RegistryEmulator(spec)
         click.echo(json.dumps({"port": await emulator.start()}))
+        await _await_script_start(spec.t0_ms, emulator.start_script)
         await _until_stopped()
         emulator.close()
 
@@ -74,6 +86,7 @@
     async def run() -> None:
         emulator = ClientEmulator(spec)
         click.echo(json.dumps({"messages": len(emulator.script)}))
+        await _await_script_start(spec.t0_ms, emulator.start_script)
         await emulator.run()
 
     asyncio.run(run())
--- a/linnetstile/emulators/client.py
+++ b/linnetstile/emulators/client.py
@@ -51,13 +51,17 @@
         self._loop = asyncio.get_running_loop()
         self._start_ms = spec.t0_ms if spec.t0_ms is not None else now_ms()
         self._pool = client.ConnectionPool(connect_timeout_s=CONNECT_TIMEOUT_S, min_idle_s=0.0)
-        self._builder = MessageBuilder(spec, run_tag=f"{spec.seed:x}.{int(self._start_ms):x}")
+        self._builder = MessageBuilder(spec, run_tag=f"{spec.seed:x}.{int(now_ms()):x}")
         self._server = server.Server(self._receipt_arrived)
         self._port = 0
         self._messages: dict[int, OpenMessage] = {}  # by number in the script
         self._unfinished = len(self.script)
         self._done = asyncio.Event()
 
+    def start_script(self, start_ms: float) -> None:
+        """Set the start of a script that was not known at the start of the process; before `run`."""
+        self._start_ms = start_ms
+
     async def run(self, wait_s: float = 40.0) -> None:
         """Play the script, then wait up to `wait_s` for outstanding answers."""
         self._port = await self._server.start()
--- a/linnetstile/emulators/client_settings.py
+++ b/linnetstile/emulators/client_settings.py
@@ -59,7 +59,8 @@
     """The settings file of one emulator process; the aliases are its keys."""
 
     seed: int = 1
-    t0_ms: float | None = None  # start of the script by the clock of the run; None = now
+    # Start of the script by the clock of the run; None = now, infinite = it is told later.
+    t0_ms: float | None = None
     seconds: float = Field(gt=0)
     record: Path | None = None
     relays: list[RelaySpec] = Field(min_length=1)
--- a/linnetstile/emulators/partner.py
+++ b/linnetstile/emulators/partner.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 from .faults import Fault, FaultKind
@@ -59,9 +60,15 @@
         """Open all endpoints; return their ports by id."""
         for endpoint in self._endpoints():
             await endpoint.open()
-        self.schedule_outages()
+        if math.isfinite(self.script_start_ms):
+            self.schedule_outages()
         return {endpoint.spec.id: endpoint.port for endpoint in self._endpoints()}
 
+    def start_script(self, start_ms: float) -> None:
+        """Set the start of a script that was not known at the start of the process."""
+        self.script_start_ms = start_ms
+        self.schedule_outages()
+
     def _endpoints(self) -> list[Endpoint]:
         return [endpoint for partner in self.partners for endpoint in partner.endpoints]
 
--- a/linnetstile/emulators/partner_environment.py
+++ b/linnetstile/emulators/partner_environment.py
@@ -20,7 +20,7 @@
         spec: The settings of the process.
         rng: Source of all random numbers of the process; they are drawn in the order of the calls.
         recorder: Records its traffic.
-        script_start_ms: Start of the script by the clock of the run.
+        script_start_ms: Start of the script by the clock of the run; infinite until it is known.
         pool: Connections for asynchronous receipts.
         forger: The identity that signs forged receipts; None if no fault asks for one.
     """
--- a/linnetstile/emulators/partner_settings.py
+++ b/linnetstile/emulators/partner_settings.py
@@ -54,7 +54,8 @@
     """The file of one emulator process."""
 
     seed: int = 1
-    t0_ms: float | None = None  # start of the script by the clock of the run; None = now
+    # Start of the script by the clock of the run; None = now, infinite = it is told later.
+    t0_ms: float | None = None
     record: Path | None = None
     partners: list[PartnerSpec] = Field(min_length=1)
     faults: list[Fault] = []
--- a/linnetstile/emulators/registry.py
+++ b/linnetstile/emulators/registry.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import urllib.parse
 from dataclasses import dataclass
 from enum import StrEnum
@@ -64,7 +65,8 @@
     """The settings file of the registry emulator; the alias is the key of the file."""
 
     port: int = 0
-    t0_ms: float | None = None  # start of the script by the clock of the run; None = now
+    # Start of the script by the clock of the run; None = now, infinite = it is told later.
+    t0_ms: float | None = None
     record: Path | None = None
     lag_ms: float = Field(1000.0, ge=0)
     keep: int = Field(1000, ge=1)  # number of changes that it remembers
@@ -97,7 +99,7 @@
     Attributes:
         spec: Its settings.
         recorder: Records its traffic.
-        script_start_ms: Start of the script by the clock of the run.
+        script_start_ms: Start of the script by the clock of the run; infinite until it is known.
         version: Version of the list.
         entries: The list, by endpoint id.
         port: The port that it listens on once it is started.
@@ -118,9 +120,15 @@
         """Listen; return the port."""
         self._server = server.Server(self._request_arrived, limits=server.ServerLimits(idle_timeout_s=IDLE_TIMEOUT_S))
         self.port = await self._server.start(port=self.spec.port)
-        self._schedule_changes()
+        if math.isfinite(self.script_start_ms):
+            self._schedule_changes()
         return self.port
 
+    def start_script(self, start_ms: float) -> None:
+        """Set the start of a script that was not known at the start of the process."""
+        self.script_start_ms = start_ms
+        self._schedule_changes()
+
     def _schedule_changes(self) -> None:
         loop = asyncio.get_running_loop()
         for change in self.spec.changes:
--- a/linnetstile/testbed/emulator_settings.py
+++ b/linnetstile/testbed/emulator_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 Document = dict[str, Any]
 """The content of a settings file, under the keys of its format."""
 
+START_TOLD_LATER = math.inf  # the script starts once all processes are ready
 REGISTRY_FAULT_KINDS = {FleetFaultKind.REGISTRY_STALE: "stale", FleetFaultKind.REGISTRY_FAILURE: "fail"}
 ENDPOINT_STATUSES = {
     FleetFaultKind.ENDPOINT_DRAINED: "draining",
@@ -28,12 +30,11 @@
 class EmulatorSettings:
     """Derives the settings of the emulators from a day."""
 
-    def __init__(self, day: Day, fleet: FleetPlan, folder: Path, keys: RunKeys, start_ms: float) -> None:
+    def __init__(self, day: Day, fleet: FleetPlan, folder: Path, keys: RunKeys) -> None:
         self._day = day
         self._fleet = fleet
         self._folder = folder
         self._keys = keys
-        self._start_ms = start_ms
 
     # -- partners --------------------------------------------------------------------------------------------
 
@@ -42,7 +43,7 @@
         return {
             "seed": self._day.seed,
             "record": str(self._folder / "partners.jsonl"),
-            "t0_ms": self._start_ms,
+            "t0_ms": START_TOLD_LATER,
             "partners": [self._partner(partner) for partner in self._fleet.partners],
             "faults": [fault.model_dump(mode="json") for fault in self._day.faults],
         }
@@ -82,7 +83,7 @@
             ports: Port of each endpoint, by its id as text.
         """
         return {
-            "t0_ms": self._start_ms,
+            "t0_ms": START_TOLD_LATER,
             "record": str(self._folder / "register.jsonl"),
             "lag_ms": self._day.registry_lag_ms,
             "entries": [
@@ -123,7 +124,7 @@
         traffic = day.traffic
         return {
             "seed": day.seed,
-            "t0_ms": self._start_ms,
+            "t0_ms": START_TOLD_LATER,
             "seconds": day.seconds,
             "record": str(self._folder / "clients.jsonl"),
             "relays": [{"name": name, "address": address} for name, address in addresses.items()],
--- a/linnetstile/testbed/play.py
+++ b/linnetstile/testbed/play.py
@@ -14,9 +14,7 @@
 from .relay_lifetime import ProcessEnd
 from .run_folder import RunFolder
 
-# Time for the processes to start before the script does; its start is in their settings and so is fixed beforehand.
-STARTUP_MS = 4000.0
-STARTUP_MS_PER_RELAY = 700.0
+START_NOTICE_MS = 1000.0  # from when the emulators are told the start of the script until the start
 CLIENT_MARGIN_S = 60.0  # time for the clients to exit after the end of the day and the longest deadline
 
 
@@ -33,8 +31,7 @@
         self._day = day
         self._report = report
         self._fleet = plan_fleet(day)
-        start_ms = now_ms() + STARTUP_MS + STARTUP_MS_PER_RELAY * day.relays
-        self._folder = RunFolder(day, self._fleet, folder, start_ms)
+        self._folder = RunFolder(day, self._fleet, folder)
         self._processes = ProcessGroup(folder)
         self._relays = RelayFleet(self._processes, self._folder, report)
 
@@ -57,12 +54,9 @@
         registry_file = self._folder.write_registry(partners.ready["ports"])
         registry = await self._start_emulator("register", "register", registry_file)
         await self._relays.start(self._day.relays, f"http://127.0.0.1:{registry.ready['port']}")
-        if now_ms() > self._folder.start_ms:
-            raise PlayError(
-                "the processes were not ready at the start of the script; use fewer relays or a less busy machine"
-            )
         clients_file = self._folder.write_clients(self._relays.addresses)
         clients = await self._start_emulator("clients", "client", clients_file)
+        self._start_script(partners, registry, clients)
         self._report_start(clients.ready["messages"])
         await self._play_script(clients)
         await self._relays.stop()
@@ -72,6 +66,12 @@
     async def _start_emulator(self, name: str, kind: str, settings: Path) -> ManagedProcess:
         return await self._processes.start(name, "standin", kind, str(settings))
 
+    def _start_script(self, *emulators: ManagedProcess) -> None:
+        """Start the script, now that all processes are ready, however long that took."""
+        self._folder.start_ms = now_ms() + START_NOTICE_MS
+        for emulator in emulators:
+            emulator.start_script(self._folder.start_ms)
+
     def _report_start(self, messages: int) -> None:
         self._report(
             f"   0.0 s  {messages} messages over {self._day.seconds:.0f} s, "
--- a/linnetstile/testbed/processes.py
+++ b/linnetstile/testbed/processes.py
@@ -38,6 +38,12 @@
     child: asyncio.subprocess.Process
     ready: dict[str, Any] = field(default_factory=dict)
 
+    def start_script(self, start_ms: float) -> None:
+        """Tell an emulator the start of its script, by the clock of the run."""
+        assert self.child.stdin is not None
+        self.child.stdin.write(f"{start_ms}\n".encode())
+        self.child.stdin.close()
+
     @property
     def address(self) -> str:
         """The address on which a relay listens."""
@@ -84,7 +90,7 @@
                 "-m",
                 "linnetstile.cli.main",
                 *arguments,
-                stdin=asyncio.subprocess.DEVNULL,
+                stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
             )
--- a/linnetstile/testbed/relay_settings.py
+++ b/linnetstile/testbed/relay_settings.py
@@ -17,12 +17,11 @@
 class RelaySettings:
     """Derives the settings of the relays from a day."""
 
-    def __init__(self, day: Day, fleet: FleetPlan, folder: Path, keys: RunKeys, start_ms: float) -> None:
+    def __init__(self, day: Day, fleet: FleetPlan, folder: Path, keys: RunKeys) -> None:
         self._day = day
         self._fleet = fleet
         self._folder = folder
         self._keys = keys
-        self._start_ms = start_ms
 
     def relay(self, name: str, registry_url: str) -> Document:
         """Return the settings of a relay that listens on any port and has no peers yet."""
@@ -56,7 +55,7 @@
             return {}
         return {
             "knowledge": {
-                "token_file": self._keys.write_gossip_token(f"{self._day.name}-{self._start_ms}"),
+                "token_file": self._keys.gossip_token(),
                 "snapshot": str(self._folder / f"{name}.know"),
                 "snapshot_every_ms": SNAPSHOT_INTERVAL_MS,
                 "peers": peers,
--- a/linnetstile/testbed/run_folder.py
+++ b/linnetstile/testbed/run_folder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
@@ -21,17 +22,17 @@
 
     Attributes:
         path: The folder.
-        start_ms: Start of the script by the clock of the run.
+        start_ms: Start of the script by the clock of the run; infinite until all processes are ready.
     """
 
-    def __init__(self, day: Day, fleet: FleetPlan, path: Path, start_ms: float) -> None:
+    def __init__(self, day: Day, fleet: FleetPlan, path: Path) -> None:
         self._day = day
         self._fleet = fleet
         self.path = path
-        self.start_ms = start_ms
+        self.start_ms = math.inf
         keys = RunKeys(path)
-        self._emulators = EmulatorSettings(day, fleet, path, keys, start_ms)
-        self._relays = RelaySettings(day, fleet, path, keys, start_ms)
+        self._emulators = EmulatorSettings(day, fleet, path, keys)
+        self._relays = RelaySettings(day, fleet, path, keys)
 
     def _write(self, name: str, settings: Document) -> Path:
         path = self.path / name
@@ -101,7 +102,7 @@
             "day": day.name,
             "seed": day.seed,
             "seconds": day.seconds,
-            "t0_ms": self.start_ms,
+            "t0_ms": self.start_ms if math.isfinite(self.start_ms) else None,
             "attempts": day.attempts,
             "classes": {name: message_class.model_dump() for name, message_class in day.classes.items()},
             "safety": day.safety.model_dump(by_alias=True),
--- a/linnetstile/testbed/run_keys.py
+++ b/linnetstile/testbed/run_keys.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import secrets
 from pathlib import Path
 
 from ..codec import cms
 
 KEYS_FOLDER = "keys"
 TOKEN_FILE = "token"
+TOKEN_BYTES = 16
 
 
 class RunKeys:
@@ -24,8 +26,9 @@
             path.write_bytes(cms.encode_identity(cms.generate_identity(name)))
         return str(path)
 
-    def write_gossip_token(self, token: str) -> str:
-        """Write the token that the relays share for gossip; return the path of its file."""
+    def gossip_token(self) -> str:
+        """Return the path of the file with the token that the relays of the run share for gossip."""
         path = self._folder / TOKEN_FILE
-        path.write_text(token, encoding="utf-8")
+        if not path.exists():
+            path.write_text(secrets.token_hex(TOKEN_BYTES), encoding="utf-8")
         return str(path)
--- a/tests/testbed/test_play.py
+++ b/tests/testbed/test_play.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
+import pytest
 import yaml
 
 from linnetstile.emulators.client_script import draw_script
 from linnetstile.emulators.client_settings import ClientSpec
+from linnetstile.emulators.record import now_ms
 from linnetstile.testbed.day import Day
+from linnetstile.testbed.play import play as play_day
+from linnetstile.testbed.processes import ProcessGroup
+from linnetstile.testbed.rule_checker import check
 
 ROOT = Path(__file__).parent.parent.parent
 DAY: dict[str, Any] = {
@@ -36,6 +42,8 @@
     ],
 }
 
+SLOW_START_S = 6.0  # start of one process, beside machine load
+
 
 def play(folder: Path, day: dict[str, Any]) -> subprocess.CompletedProcess[str]:
     """Play a day as `linnetstile play` does, with its record in the folder."""
@@ -73,6 +81,30 @@
     assert "expected a new or empty folder" in second_result.stderr
 
 
+@pytest.mark.parametrize("slow_process", ["register", "clients"])
+def test_script_starts_once_all_processes_are_ready_however_slowly_they_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, slow_process: str
+) -> None:
+    """Guards against a script that starts without its processes: no play at all, or overdue messages in one burst."""
+    spawn = ProcessGroup._spawn
+    spawned_ms: list[float] = []
+
+    async def spawn_slowly(group: ProcessGroup, name: str, arguments: tuple[str, ...]) -> asyncio.subprocess.Process:
+        if name == slow_process:
+            await asyncio.sleep(SLOW_START_S)
+        spawned_ms.append(now_ms())
+        return await spawn(group, name, arguments)
+
+    monkeypatch.setattr(ProcessGroup, "_spawn", spawn_slowly)
+    play_day(Day.model_validate(DAY), tmp_path, lambda line: None)
+    process_count = 3 + int(DAY["relays"])  # partners, registry, relays, clients
+    facts = json.loads((tmp_path / "run.json").read_text())
+    assert facts["t0_ms"] > max(spawned_ms[:process_count])
+    run = check(tmp_path)
+    assert not any(verdict.breach_count for verdict in run.verdicts)
+    assert run.figures.by_answer["delivered"] > 0.7 * run.figures.messages
+
+
 def test_the_same_seed_draws_the_same_script_and_a_surge_has_more_traffic() -> None:
     spec = ClientSpec.model_validate(
         {
