Requests that were read together at the end of a shutdown are all answered

Seen (review, found without a case): from 3.25 s after SIGTERM the first of several requests read together gets 503 with Connection: close, the others nothing. Lines: intake.py submit and _acknowledge replied with close, response_writer.finish drops the input behind. Ruled out: unread bytes in the kernel (a close looks for them). Change: a response closes only if nothing of a further request has arrived (RequestContext.has_successor). Measured: [503] of [503, 503, 503] and [202] of [202, 503, 503] before, all after; tests of the shutdown pass. Also: the docstring of ConnectionLimit.ratio says what the ratio is.

--- a/linnetstile/engine/events.py
+++ b/linnetstile/engine/events.py
@@ -219,7 +219,7 @@
 
     Attributes:
         kind: Index of the destination kind in the settings.
-        ratio: Fraction of the kind's answers that followed a failed connect.
+        ratio: Fraction of the successes of the kind that came soon after a failed connect.
     """
 
     kind: int
--- a/linnetstile/net/request_context.py
+++ b/linnetstile/net/request_context.py
@@ -45,6 +45,11 @@
         self.on_body_data = None
         self.submission = None
 
+    @property
+    def has_successor(self) -> bool:
+        """Whether bytes of a further request have arrived on its connection."""
+        return not self.connection.input.is_exhausted or self.connection.has_unread_input
+
     def resume_body(self) -> None:
         """Continue reading the body, because there is capacity for it now."""
         self.connection.resume_body(self)
--- a/linnetstile/platform_relay/http_frontend.py
+++ b/linnetstile/platform_relay/http_frontend.py
@@ -53,7 +53,8 @@
         reader: Reads the heads of requests.
         on_submission: Called with each valid submission.
         is_ready: Returns the answer to readiness checks.
-        is_closing: Whether the relay is shutting down; each response then closes its connection.
+        is_closing: Whether the relay is shutting down; a response then closes its connection, unless a further request
+            has arrived on it.
         bad_requests: Number of requests that were rejected as invalid.
         server: The HTTP server.
     """
--- a/linnetstile/platform_relay/intake.py
+++ b/linnetstile/platform_relay/intake.py
@@ -75,7 +75,8 @@
         """
         remaining_ms = submission.remaining_ms - (self._loop.time() - request.started_at) * 1000
         if not self.is_open or self._is_closing():
-            reply(request, 503, "refused: this relay is not taking messages on", close=True)
+            # A further request that has arrived is owed an answer, too: the last one closes the connection.
+            reply(request, 503, "refused: this relay is not taking messages on", close=not request.has_successor)
         elif submission.submission_id in self._accepted.submission_ids:
             self._counts[counters.REJECTED_DUPLICATE] += 1
             reply(request, 409, "X-Correlation-Id: was handed in before", close=True)
@@ -157,7 +158,7 @@
             self._counts[counters.REJECTED_NOT_JOURNALED] += 1
             reply(request, 503, "refused: it can't be kept")
             return False
-        if reply(request, 202, close=self._is_closing()):
+        if reply(request, 202, close=self._is_closing() and not request.has_successor):
             self._counts[counters.ACCEPTED] += 1
             return True
         self._counts[counters.CLIENT_LEFT_BEFORE_ANSWER] += 1
--- a/tests/platform_relay/test_shutdown.py
+++ b/tests/platform_relay/test_shutdown.py
@@ -5,8 +5,12 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
 from linnetstile.engine.graceful_shutdown import EXIT_MS, STOP_ACCEPTING_MS, STOP_ADMITTING_MS
+from linnetstile.net import server
 from linnetstile.platform_relay.relay import PlatformRelay
+from linnetstile.platform_relay.submission import Submission
 
 from .http_messages import connect, connect_and_submit, read_status, request_status, submission, too_many_requests
 from .relay_testbed import RelayTestbed, delivered_ids, run_scenario, wait_until, wait_until_idle
@@ -101,3 +105,33 @@
         assert STOP_ACCEPTING_MS < STOP_ADMITTING_MS
 
     run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(("closes_after", "statuses"), [(0, [503, 503, 503]), (1, [202, 503, 503])])
+def test_requests_that_arrived_together_are_all_answered_at_the_end_of_admission(
+    tmp_path: Path, closes_after: int, statuses: list[int]
+) -> None:
+    """Guards against requests that were read and got no answer, as the response to the first one closed."""
+
+    async def scenario(testbed: RelayTestbed) -> None:
+        relay = await testbed.start_relay()
+        reader, writer = await connect_and_submit(relay)
+        on_submission = relay.frontend.on_submission
+        submitted: list[str] = []
+
+        def submit_and_stop_admitting(request: server.RequestContext, read: Submission) -> None:
+            if len(submitted) == closes_after:
+                relay.frontend.stop_admitting()
+            submitted.append(read.submission_id)
+            on_submission(request, read)
+            if len(submitted) == closes_after:
+                relay.frontend.stop_admitting()
+
+        relay.frontend.on_submission = submit_and_stop_admitting
+        writer.write(b"".join(submission(f"m{number}") for number in range(3)))
+        responses = (await reader.read()).split(b"HTTP/1.1 ")[1:]  # until the relay closes the connection
+        assert [int(response[:3]) for response in responses] == statuses
+        assert [b"Connection: close" in response for response in responses] == [False, False, True]
+        writer.close()
+
+    run_scenario(tmp_path, scenario)
