Idle connections: the newest that may be reused is found by bisection

Need: with 2,000 calls a second, 100 connections of an address have been idle for less than 50 ms, and each call went through them. Change: bisect on idle_since, the order in which they are kept.

--- a/linnetstile/net/idle_connections.py
+++ b/linnetstile/net/idle_connections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bisect import insort
+from bisect import bisect_right, insort
 from typing import TYPE_CHECKING
 
 from .client_call import Address
@@ -35,11 +35,11 @@
     def take_newest(self, address: Address, idle_before: float) -> ClientConnection | None:
         """Remove and return the newest connection to an address that is idle since `idle_before` or earlier."""
         connections = self.by_address.get(address, [])
-        for position in reversed(range(len(connections))):
-            if connections[position].idle_since <= idle_before:
-                self.count -= 1
-                return connections.pop(position)
-        return None
+        count = bisect_right(connections, idle_before, key=_idle_since)
+        if not count:
+            return None
+        self.count -= 1
+        return connections.pop(count - 1)
 
     def take_oldest(self, address: Address) -> ClientConnection | None:
         """Remove and return the oldest connection to an address; None if there is none."""
