--- a/tests/platform_relay/test_watch_timing.py
+++ b/tests/platform_relay/test_watch_timing.py
@@ -31,6 +31,34 @@
 CHANGED_ENTRIES = [*ENTRIES[1:], list_entry("s-0", "DRAINING")]
 
 
+def run_watch_until(
+    loop: VirtualTimeLoop,
+    has_ended: Callable[[Watch], bool],
+    on_event: Callable[[EndpointList], None] = lambda event: None,
+) -> Watch:
+    """Run a watch with the longest backoff until a condition holds; return it, closed."""
+    watches: list[Watch] = []
+
+    async def run() -> None:
+        rng = random.Random(1)
+        rng.uniform = lambda low, high: high  # type: ignore[method-assign, assignment]
+        watch = Watch(Directory(("k",), ("z",)), ("h", 1), on_event, rng)
+        watches.append(watch)
+        watch.start()
+        while not has_ended(watch):  # noqa: ASYNC110  virtual time advances by timers, such as those of sleeps
+            await asyncio.sleep(0.01)
+        watch.close()
+        await asyncio.sleep(0)
+
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(run())
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+    return watches[0]
+
+
 @pytest.mark.parametrize(
     ("stalled_responses", "resumes"),
     [
@@ -60,21 +88,7 @@
     def record_change(event: EndpointList) -> None:
         change_times.extend(loop.now for endpoint in event.endpoints if endpoint.status is EndpointStatus.DRAINING)
 
-    async def run() -> None:
-        rng = random.Random(1)
-        rng.uniform = lambda low, high: high  # type: ignore[method-assign, assignment]  # the longest backoff
-        watch = Watch(Directory(("k",), ("z",)), ("h", 1), record_change, rng)
-        watch.start()
-        while not change_times:  # noqa: ASYNC110  virtual time advances by timers, such as those of sleeps
-            await asyncio.sleep(0.01)
-        watch.close()
-
-    asyncio.set_event_loop(loop)
-    try:
-        loop.run_until_complete(run())
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
+    run_watch_until(loop, lambda watch: bool(change_times), record_change)
     assert change_times[0] < CHANGE_DUE_S
     assert ["since=41" in path for _, path in loop.requests[1:]] == resumes
     assert loop.requests[1][0] < 2.7
@@ -107,30 +121,6 @@
     assert directory.version_guard.newest_version == 41
 
 
-def run_watch_until(loop: VirtualTimeLoop, has_ended: Callable[[Watch], bool]) -> Watch:
-    """Run a watch with the longest backoff until a condition holds; return it, closed."""
-    watches: list[Watch] = []
-
-    async def run() -> None:
-        rng = random.Random(1)
-        rng.uniform = lambda low, high: high  # type: ignore[method-assign, assignment]
-        watch = Watch(Directory(("k",), ("z",)), ("h", 1), lambda event: None, rng)
-        watches.append(watch)
-        watch.start()
-        while not has_ended(watch):  # noqa: ASYNC110  virtual time advances by timers, such as those of sleeps
-            await asyncio.sleep(0.01)
-        watch.close()
-        await asyncio.sleep(0)
-
-    asyncio.set_event_loop(loop)
-    try:
-        loop.run_until_complete(run())
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
-    return watches[0]
-
-
 SLOW_RESPONSE = WATCH_RESPONSE_HEAD + full_list_chunk(ENTRIES)
 
 
