Surplus responses: the test's order holds on a busy machine, too

Cause: the stand-in shares a thread with the relay and its copy is due 45 ms behind the answer, 5 ms before the idle time ends; a late timer lets the relay send first. Change: the 45 ms cases run with an idle time of 0.3 s; delays and assertions as before, the 1 and 10 ms cases keep MIN_IDLE_MS.

--- a/tests/platform_relay/test_surplus_responses.py
+++ b/tests/platform_relay/test_surplus_responses.py
@@ -18,6 +18,9 @@
 WORK_S = 0.02  # time from a request to its own response
 LONG_WORK_S = 0.5  # longer than a relay waits before it retries a rejected call
 COPY_DELAY_S = 0.9 * MIN_IDLE_MS / 1000
+# Idle time for the copies after COPY_DELAY_S: endpoint and relay share a thread here, so on a busy machine such a copy
+# leaves some ms late, when MIN_IDLE_MS is over.
+LONG_IDLE_S = 0.3
 
 
 @dataclass
@@ -116,6 +119,8 @@
         endpoint = CopyingEndpoint(copy_delay_s, list(responses))
         await testbed.add_endpoint(2, serve=endpoint.serve)
         relay = await testbed.start_relay()
+        if copy_delay_s == COPY_DELAY_S:
+            relay.endpoint_client.pool.min_idle_s = LONG_IDLE_S
         ids = [f"m{number}" for number in range(4)]
         requests = [submission(submission_id, class_name, destination=2) for submission_id in ids]
         assert set(await asyncio.gather(*(request_status(relay, request) for request in requests))) == {202}
@@ -139,6 +144,7 @@
         )
         await testbed.add_endpoint(2, serve=endpoint.serve)
         relay = await testbed.start_relay()
+        relay.endpoint_client.pool.min_idle_s = LONG_IDLE_S
         assert await request_status(relay, submission("first", class_name, destination=2)) == 202
         await wait_until(lambda: not endpoint.responses and endpoint.open_calls["first"])
         assert await request_status(relay, submission("second", class_name, destination=2)) == 202
