Review stand-ins: watches of discovery can fall silent

Need: trials of the review need watches that fall silent while others are answered. Change: the discovery of review/common-2 has a set of silent watches.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -102,6 +102,7 @@
 
     Attributes:
         is_down: The agent is silent: it accepts connections and answers nothing. Notices are answered all the same.
+        silent: Open watches that have fallen silent for good.
         told_at: Unix time (s) at which the latest state of an endpoint was written to the relay.
         notices: Result of each notice, by id, with its Unix time: the first one counts.
     """
@@ -112,6 +113,7 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.log: list[tuple[int, dict[str, Any]]] = []
         self.is_down = False
+        self.silent: set[asyncio.StreamWriter] = set()
         self.told_at: dict[tuple[str, str], float] = {}
         self.notices: dict[str, tuple[float, str]] = {}
         self.address = ""
@@ -203,7 +205,7 @@
                     line = await asyncio.wait_for(queue.get(), EMPTY_LINE_S)
                 except TimeoutError:
                     line = b"\n"
-                while self.is_down:
+                while self.is_down or writer in self.silent:
                     await asyncio.sleep(0.02)
                     if writer.transport.is_closing():
                         return
