--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -419,7 +419,13 @@
         return reader, writer, False
 
     async def hand_in(
-        self, class_name: str, dest: int, time_left_ms: float, body: bytes = b"x" * 200, path: str = "/api", mark: str = ""
+        self,
+        class_name: str,
+        dest: int,
+        time_left_ms: float,
+        body: bytes = b"x" * 200,
+        path: str = "/api",
+        mark: str = "",
     ) -> Message:
         """Hand in one message; on a kept connection that has just been closed, send it once more on a new one."""
         now = time.time()
@@ -489,7 +495,13 @@
         "balancers": 1,
         "classes": classes,
         "client-habits": {"marks-retry": True},
-        "extra": {"call-slots": slots, "carriage": [0.0], "loses-worth": "halves", "per-call": [1], "separate-routes": [False]},
+        "extra": {
+            "call-slots": slots,
+            "carriage": [0.0],
+            "loses-worth": "halves",
+            "per-call": [1],
+            "separate-routes": [False],
+        },
         "feedback": {"fields": [], "how": "silent"},
         "goal": {"whole": 0.4, "worst-class": 0.2, "worst-tenant": 0.1, "worst-window": 0.3},
         "index": 0,
@@ -529,7 +541,9 @@
     return result
 
 
-def message_class(name: str, effect: str, aim: float, deadline: float, window: float = 5000.0, **more: Any) -> dict[str, Any]:
+def message_class(
+    name: str, effect: str, aim: float, deadline: float, window: float = 5000.0, **more: Any
+) -> dict[str, Any]:
     return {
         "aim-ms": aim,
         "deadline-ms": deadline,
@@ -585,7 +599,12 @@
         }
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                ["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                ["/bin/sh", "-c", deploy["run"]],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         self.record.write("relay-start", pid=self._process.pid)
         until = time.time() + wait_ready_s
@@ -749,6 +768,7 @@
     record = Record(folder / "record.txt")
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("start", trouble=int(with_trouble))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the case's own clean-up then ends its processes
 
     async def bounded(work: Path) -> list[str]:
         async with asyncio.timeout(limit_s):
