Review stand-ins: each case has a loopback address of its own

Change: stand-ins and relay use a random address of 127.0.0.0/8; a relay counts as ready only while its process lives.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -34,7 +34,7 @@
 
     async def run(self) -> None:
         try:
-            reader, self._writer = await asyncio.open_connection("127.0.0.1", self.port)
+            reader, self._writer = await asyncio.open_connection(standins.HOST, self.port)
             self.connected_at = time.time()
             fields = [
                 "POST /api HTTP/1.1",
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -34,6 +34,8 @@
 NEVER_RAN = "never ran"
 
 
+# A loopback address of this process alone: cases that run side by side can't take each other's ports.
+HOST = "127.{}.{}.{}".format(*(random.SystemRandom().randrange(1, 255) for _ in range(3)))
 _given_ports: set[int] = set()
 
 
@@ -46,7 +48,7 @@
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((HOST, port))
             except OSError:
                 continue
         _given_ports.add(port)
@@ -122,8 +124,8 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port or free_port())
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, HOST, port or free_port())
+        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
 
     def full_list(self) -> dict[str, Any]:
         return {"version": self.version, "full": True, "servers": list(self.entries.values())}
@@ -292,7 +294,7 @@
         port = port or free_port()
         for _ in range(40):
             try:
-                self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, reuse_address=True)
+                self._server = await asyncio.start_server(self._serve, HOST, port, reuse_address=True)
                 break
             except OSError:
                 await asyncio.sleep(0.05)
@@ -302,7 +304,7 @@
     def entry(self, state: str = "SERVING", weight: float = 60.0) -> dict[str, Any]:
         return {
             "id": self.name,
-            "addr": f"127.0.0.1:{self.port}",
+            "addr": f"{HOST}:{self.port}",
             "zone": "z",
             "kind": "k",
             "cell": self.cell,
@@ -573,7 +575,7 @@
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
+        return f"{HOST}:{self.port}"
 
     def write_configuration(self, **changes: Any) -> None:
         self.configuration.update(changes)
@@ -609,7 +611,7 @@
         self.record.write("relay-start", pid=self._process.pid)
         until = time.time() + wait_ready_s
         while time.time() < until:
-            if await self.is_ready():
+            if await self.is_ready() and self._process.poll() is None:
                 self.ready_at.append(time.time())
                 self.record.write("relay-ready")
                 return
@@ -621,7 +623,7 @@
     async def is_ready(self) -> bool:
         try:
             async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                reader, writer = await asyncio.open_connection(HOST, self.port)
                 try:
                     writer.write(b"GET /-/ready HTTP/1.1\r\nHost: n0\r\nConnection: close\r\n\r\n")
                     return (await read_head(reader)).first_line.split(" ")[1] == "200"
