A destination without endpoints no longer stops every turn of the engine

Cause: outlier_detection._raise_score bounded the failure score only while the route has endpoints; calls that fail after the last one left take 55% of the rest each, 47 of them give 1.0, and scheduler._slot_time_ms divides by 1 - score.

--- a/linnetstile/engine/outlier_detection.py
+++ b/linnetstile/engine/outlier_detection.py
@@ -20,7 +20,7 @@
 FAILURE_WEIGHT = 0.3  # weight of one failure in the failure score: two in a row eject a route
 EJECTION_THRESHOLD = 0.5  # failure score above which a route is ejected
 UNCONTRADICTED_FAILURE_WEIGHT = EJECTION_THRESHOLD + 0.05  # a failure that no recent answer contradicts ejects at once
-MAX_EJECTED_SCORE = 0.7  # upper bound of an ejected route's score: one answer brings it below the threshold
+MAX_FAILURE_SCORE = 0.7  # upper bound of any failure score: one answer brings it below the ejection threshold
 TRUST_THRESHOLD = 0.25  # failure score up to which a route may get non-idempotent messages
 TRIAL_JITTER = (0.7, 1.3)  # range of the random factor on the time between trial calls: relays do not call in step
 
@@ -119,13 +119,17 @@
 
     @staticmethod
     def _raise_score(now: float, route: RouteState, weight: float) -> None:
+        """Raise the failure score, which stays below 1: the expected slot time is divided by the rest.
+
+        A route whose last endpoint has left is not ejected, but its score is bounded like that of any other.
+        """
         health = route.health
-        health.failure_score += (1.0 - health.failure_score) * weight
+        raised_score = health.failure_score + (1.0 - health.failure_score) * weight
+        health.failure_score = min(raised_score, MAX_FAILURE_SCORE)
         if health.failure_score > EJECTION_THRESHOLD and route.endpoints:
             if not health.ejected:
                 health.next_trial_at = now
             health.ejected = True
-            health.failure_score = min(health.failure_score, MAX_EJECTED_SCORE)
 
     def schedule_trial(self, now: float, route: RouteState) -> None:
         """Set the time of the next trial call, counted from one that starts now, with jitter."""
--- a/linnetstile/engine/route_state.py
+++ b/linnetstile/engine/route_state.py
@@ -91,7 +91,7 @@
 
     Attributes:
         last_success_at: Time of the latest answer.
-        failure_score: 0 for healthy to 1; rises with each failure and falls with each answer.
+        failure_score: 0 for healthy, always below 1; rises with each failure and falls with each answer.
         ejected: Whether the route is ejected, which limits it to single trial calls.
         failed_at: Time of the latest failure that no rate limit explains.
         last_failure_had_no_effect: Whether the latest failure proved that the message had no effect.
--- a/tests/engine/test_outlier_detection.py
+++ b/tests/engine/test_outlier_detection.py
@@ -173,3 +173,29 @@
 
 def test_endpoint_that_replaces_the_only_one_after_a_gap_is_in_slow_start() -> None:
     assert 1 <= sends_after_a_replacement(4000.0) < sends_after_a_replacement(0.0)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR, Outcome.CONNECT_FAILED])
+def test_many_failures_after_the_last_endpoint_left_do_not_stop_the_engine(outcome: Outcome) -> None:
+    # Guards against ZeroDivisionError in each turn: the failure score of a route without endpoints reached 1.
+    harness = EngineHarness(make_settings(max_in_flight=200, max_pending_messages=400))
+    harness.list_endpoints((11, 1), (21, 2), advertised_rate=5000.0)
+    harness.warm_up()
+    for _ in range(80):
+        harness.submit(DEDUPLICATED)
+    harness.advance(500)
+    harness.advance(11_000 - 500, step_ms=100.0)  # no answer for longer than any evidence is valid
+    for _ in range(80):
+        harness.submit(DEDUPLICATED)
+    harness.advance(100)
+    assert len(harness.in_flight) >= 60
+    harness.change_endpoints(make_endpoint(11, 1, EndpointStatus.GONE))
+    harness.end_attempts_in_flight(outcome)
+    assert harness.route().health.failure_score < 1.0
+    waiting = harness.submit(DEDUPLICATED)
+    harness.advance(200)
+    other = harness.submit(IDEMPOTENT, destination=2)
+    assert harness.attempts.get(other) == 1
+    harness.change_endpoints(make_endpoint(12, 1, advertised_rate=5000.0))
+    harness.advance(9000)
+    assert harness.attempts.get(waiting)
