A message with more time than its class no longer stops the engine's turns

Cause: PendingMessage.value_at divided by deadline - objective; other classes got values below the late fraction, or negative ones. Change: beyond the deadline of the class the value stays at the late fraction; unchanged for messages with no more time than their class has. Test: three cases in tests/engine/test_send_order.py, all failed before, one with the ZeroDivisionError.

--- a/linnetstile/engine/pending_message.py
+++ b/linnetstile/engine/pending_message.py
@@ -67,7 +67,10 @@
         self.attempts += 1
 
     def value_at(self, at: float, decay: ValueDecay) -> float:
-        """Return the value of a delivery at a time: full within the latency objective, then falling, 0 when late."""
+        """Return the value of a delivery at a time: full within the latency objective, then falling, 0 when late.
+
+        A message may have more time than the deadline of its class: beyond that, its value stays at the late fraction.
+        """
         if at >= self.deadline:
             return 0.0
         message_class = self.message_class
@@ -79,4 +82,5 @@
         if decay is ValueDecay.HALF_LIFE:
             return self.priority_weight * max(late_fraction, float(0.5 ** (overrun_ms / objective_ms)))
         decay_ms = message_class.deadline_ms - objective_ms
-        return self.priority_weight * (1 - (1 - late_fraction) * overrun_ms / decay_ms)
+        decayed_fraction = overrun_ms / decay_ms if overrun_ms < decay_ms else 1.0
+        return self.priority_weight * (1 - (1 - late_fraction) * decayed_fraction)
--- a/tests/engine/test_send_order.py
+++ b/tests/engine/test_send_order.py
@@ -4,12 +4,14 @@
 
 from dataclasses import replace
 
-from linnetstile.engine.events import Message
+import pytest
+
+from linnetstile.engine.events import EndpointStatus, Message
 from linnetstile.engine.pending_message import PendingMessage
 from linnetstile.engine.send_order import expected_send_times, urgency
 from linnetstile.engine.settings import Effect, MessageClass, Tenant, ValueDecay
 
-from ..conftest import EngineHarness, make_settings
+from ..conftest import EngineHarness, make_endpoint, make_settings
 
 SLOW = MessageClass(
     "slow", Effect.IDEMPOTENT, latency_objective_ms=4000.0, deadline_ms=16000.0, late_value_fraction=0.5
@@ -116,3 +118,23 @@
         weights += [priority_weight(harness, harness.submit(0, remaining_ms=16000.0)) for _ in range(2)]
         harness.advance(5100, 100)
     assert weights == [1.0, 0.1] * 4
+
+
+@pytest.mark.parametrize("objective_ms", [1000.0, 400.0, 2000.0])
+def test_message_with_more_time_than_its_class_keeps_the_late_value_after_the_deadline_of_its_class(
+    objective_ms: float,
+) -> None:
+    # Guards against ZeroDivisionError in each turn where the objective of a class is its deadline.
+    message_class = replace(SLOW, latency_objective_ms=objective_ms, deadline_ms=1000.0)
+    harness = EngineHarness(make_settings(classes=(message_class,), clients_mark_retries=True))
+    harness.list_endpoints((21, 2))
+    harness.change_endpoints(make_endpoint(11, 1, EndpointStatus.DRAINING))
+    waiting = harness.submit(remaining_ms=3000.0)
+    pending = harness.engine.queues.messages[waiting]
+    harness.advance(2400)
+    other = harness.submit(destination=2, remaining_ms=1000.0)
+    assert harness.attempts.get(other) == 1
+    assert pending.value_at(harness.now, ValueDecay.LINEAR) == 0.5
+    harness.change_endpoints(make_endpoint(11, 1))
+    harness.advance(300)
+    assert harness.attempts.get(waiting) == 1
