A connection that has its last response gets no second one when its body is overdue

Log: RuntimeError('Cannot call write() after write_eof()') in Server._sweep. Cause: server_limits.violated_limit checked the body's deadline before the lingering, request_rejection._reject_incomplete then answered again. Ruled out: clients that stop within a head (parser idle after the 408). Change: a lingering connection is judged by LINGER alone; a request that has its response is never answered again. Test: 3 cases in tests/net/test_server_limits.py, failed before with that RuntimeError.

--- a/linnetstile/net/request_rejection.py
+++ b/linnetstile/net/request_rejection.py
@@ -34,19 +34,25 @@
     """Close a connection that exceeds the limit of this name.
 
     The connection is closed in the way that tells the client most: the client of an incomplete request is answered that
-    the request was not accepted.
+    the request was not accepted, unless the request has its response already.
     """
     if limit == server_limits.IDLE:
         if not connection.has_unread_input:  # otherwise its next request has arrived and is read soon
             finish(connection)
         return
     slow_request = limit in server_limits.SLOW_REQUEST_LIMITS and not connection.input.parser.is_idle
-    if slow_request and not connection.is_closing and not connection.peer_half_closed:
+    if slow_request and _can_respond(connection):
         _reject_incomplete(connection, TOO_SLOW_STATUS, TOO_SLOW_TEXT)
     else:
         connection.transport.abort()
 
 
+def _can_respond(connection: ServerConnection) -> bool:
+    """Whether a response to the incomplete request of a connection may be written, and the peer may read it."""
+    has_response = connection.finished or connection.skipping_body
+    return not has_response and not connection.is_closing and not connection.peer_half_closed
+
+
 def _reject_incomplete(connection: ServerConnection, status: int, text: str) -> None:
     """Answer an incomplete request, and close the connection."""
     request = connection.current_request
--- a/linnetstile/net/server_limits.py
+++ b/linnetstile/net/server_limits.py
@@ -67,13 +67,13 @@
         connection.write_meter.pause()
     elif connection.write_meter.tick(now * 1000, written):
         return RESPONSE_RATE
+    if connection.linger_started_at is not None:
+        return LINGER if now - connection.linger_started_at > LINGER_TIMEOUT_S else ""
     if _body_deadline_passed(connection, now):
         return BODY_DEADLINE
     if phase == connection_phase.READING_BODY and not connection.reading_paused:
         return BODY_RATE if connection.read_meter.tick(now * 1000, read) else ""
     connection.read_meter.last_tick_at = None
-    if connection.linger_started_at is not None:
-        return LINGER if now - connection.linger_started_at > LINGER_TIMEOUT_S else ""
     return _violated_timeout(phase, now - connection.phase_started_at, connection.server.limits)
 
 
