An unexpected exception ends the work that raised it, and no check, watch or notice

Cause: next timer set in the last line; no boundary between one connection and the next; tasks that end with their first exception. Change: net/periodic_timers.py (moved from the AS2 relay) sets the timer first; net/fault_boundary.py reports an exception to the loop's handler (event fault with its line, counter faults) and the half-changed connection, watch, batch or attempt is discarded. A host name without an address ends its call at once.

--- a/linnetstile/as2_relay/admission.py
+++ b/linnetstile/as2_relay/admission.py
@@ -5,10 +5,13 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from ..config.relay import LimitSettings
 from ..engine.fair_share import BYTES, AdmissionDecision, FairShare, Reservation
 from ..engine.slow_partners import SLOW_PARTNER_WEIGHT, SlowPartnerDetector
+from ..net.fault_boundary import FaultBoundary
+from ..net.periodic_timers import PeriodicTimers
 from ..net.server import RequestContext
 from ..telemetry import log_events
 from ..telemetry.log import Logger
@@ -90,7 +93,8 @@
         self.reservations: set[Reservation] = set()
         self.expiry_timer: asyncio.TimerHandle | None = None
         self.is_grant_scheduled = False
-        self.slow_partner_timer = self.loop.call_later(SLOW_PARTNER_CHECK_S, self._check_slow_partners)
+        self.timers = PeriodicTimers()
+        self.timers.run_every(SLOW_PARTNER_CHECK_S * 1000, self._check_slow_partners)
 
     @property
     def now_ms(self) -> float:
@@ -199,22 +203,29 @@
         for request in result.granted:
             assert isinstance(request, RequestContext)
             self.waiting.pop(request, None)
-            request.resume_body()
+            self._run_or_abort(request, request.resume_body)
         for request in result.expired:
             assert isinstance(request, RequestContext)
-            self._reject(request, self.waiting.pop(request, 0))
+            self._run_or_abort(request, partial(self._reject, request, self.waiting.pop(request, 0)))
         self._schedule_expiry()
 
+    @staticmethod
+    def _run_or_abort(request: RequestContext, step: Callable[[], None]) -> None:
+        """Run the next step of one of several requests; its connection is aborted if that raises an exception."""
+        with FaultBoundary("a request that waited for memory") as boundary:
+            step()
+        if boundary.failed:
+            request.connection.transport.abort()
+
     def _check_slow_partners(self) -> None:
         for partner in self.slow_partners.update(self.now_ms):
             is_slow = partner.slow_since is not None
             self.fair_share.set_weight("to", partner.name, SLOW_PARTNER_WEIGHT if is_slow else 1.0)
             event = log_events.PARTNER_SLOW if is_slow else log_events.PARTNER_RECOVERED
             self.log.warning(event, partner=partner.name, why=partner.reason)
-        self.slow_partner_timer = self.loop.call_later(SLOW_PARTNER_CHECK_S, self._check_slow_partners)
 
     def close(self) -> None:
         """Cancel all timers."""
-        self.slow_partner_timer.cancel()
+        self.timers.close()
         if self.expiry_timer:
             self.expiry_timer.cancel()
--- a/linnetstile/as2_relay/delivery.py
+++ b/linnetstile/as2_relay/delivery.py
@@ -13,6 +13,7 @@
 from ..engine.events import AttemptEnded
 from ..engine.slow_partners import SlowPartnerDetector
 from ..net import client
+from ..net.fault_boundary import FaultBoundary
 from ..telemetry import log_events
 from .accepted_message import AcceptedMessage, Attempt
 from .answers import AnswerKind, ClientAnswer
@@ -181,6 +182,13 @@
         attempt.call = None
         if message.attempt is not attempt:
             return
+        with FaultBoundary("the answer of a partner") as boundary:
+            self._judge_answer(message, attempt, answer)
+        if boundary.failed and message.attempt is attempt:
+            self.end_attempt(message, attempt, AttemptObservation(WireResult.MALFORMED), None)
+
+    def _judge_answer(self, message: AcceptedMessage, attempt: Attempt, answer: client.CallResult) -> None:
+        """End an attempt by its answer, unless the receipt is still to come."""
         if answer.head is None:
             self.end_attempt(message, attempt, AttemptObservation(answer.wire_result), None)
             return
--- a/linnetstile/as2_relay/gossip_polling.py
+++ b/linnetstile/as2_relay/gossip_polling.py
@@ -11,6 +11,7 @@
 from ..engine.gossip import RouteClaim
 from ..engine.membership import Membership
 from ..net import client
+from ..net.fault_boundary import FaultBoundary
 from ..telemetry import log_events
 from ..telemetry.log import Logger
 from .gossip_document import MAX_DOCUMENT_BYTES, GossipDocument, parse
@@ -100,9 +101,10 @@
     def _poll(self) -> None:
         """Poll a peer if one is due, and schedule the next check."""
         assert self.membership is not None
-        peer = self.membership.next_peer(self.now_ms)
-        if peer is not None:
-            self._poll_peer(peer, self.membership.peers[peer].incarnation)
+        with FaultBoundary("a poll of a peer"):
+            peer = self.membership.next_peer(self.now_ms)
+            if peer is not None:
+                self._poll_peer(peer, self.membership.peers[peer].incarnation)
         tick_s = BOOTSTRAP_TICK_S if self.membership.is_bootstrapping else TICK_S
         self.timer = self.loop.call_later(tick_s, self._poll)
 
--- a/linnetstile/as2_relay/gossip_snapshot.py
+++ b/linnetstile/as2_relay/gossip_snapshot.py
@@ -115,8 +115,9 @@
         self.start_writing()
         if self.is_writing:
             return
+        document = self.make_document()
         self.is_writing = True
-        job = self.loop.run_in_executor(None, snapshot.write, self.path, self.make_document())
+        job = self.loop.run_in_executor(None, snapshot.write, self.path, document)
         job.add_done_callback(self._on_written)
 
     def _on_written(self, job: asyncio.Future[None]) -> None:
--- a/linnetstile/as2_relay/process.py
+++ b/linnetstile/as2_relay/process.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -72,7 +73,7 @@
         log.error(log_events.FAULT, why=str(error))
         print(f"linnetstile relay: can't start: {error}", file=sys.stderr)
         return EXIT_CANNOT_START
-    _log_unhandled_errors(log)
+    _report_faults(log, relay.counts)
     _stop_on_signals(relay)
     log.info(
         log_events.STARTED,
@@ -91,13 +92,14 @@
     return EXIT_UNANSWERED if unanswered else EXIT_OK
 
 
-def _log_unhandled_errors(log: Logger) -> None:
-    """Log errors that reach the event loop: a failed callback, or no file descriptor left to accept a connection.
+def _report_faults(log: Logger, counts: Counter[str]) -> None:
+    """Log and count errors that reach the event loop: a failed callback, or no descriptor left to accept a connection.
 
-    In the latter case asyncio stops accepting connections for 1 s.
+    In the latter case asyncio stops accepting connections for 1 s. docs/design/faults.md has what each of them ends.
     """
 
     def on_error(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        counts["faults"] += 1
         log.error(log_events.FAULT, why=context.get("message", ""), error=repr(context.get("exception")))
 
     asyncio.get_running_loop().set_exception_handler(on_error)
--- a/linnetstile/as2_relay/relay.py
+++ b/linnetstile/as2_relay/relay.py
@@ -11,6 +11,7 @@
 from ..engine.events import EndpointList, EndpointStatus, Event
 from ..net import server
 from ..net.engine_loop import EngineLoop
+from ..net.periodic_timers import PeriodicTimers
 from ..telemetry.log import Logger
 from . import assembly
 from .action_dispatcher import ActionDispatcher
@@ -20,7 +21,6 @@
 from .delivery import Delivery
 from .gossip_service import GossipService
 from .intake import STOPPING_RETRY_AFTER_MS, STOPPING_TEXT, Intake
-from .periodic_timers import PeriodicTimers
 from .receipt_delivery import ReceiptDelivery
 from .receipts import ReceiptIssuer, ReceiptVerifier
 from .relay_context import RelayContext
--- a/linnetstile/as2_relay/shutdown.py
+++ b/linnetstile/as2_relay/shutdown.py
@@ -49,6 +49,7 @@
         self.context.loop.call_later(self.timeout_ms / 1000, self._on_timeout)
 
     def _on_timeout(self) -> None:
+        self.completed.set()
         for message in self.context.accepted.values():
             self.context.log.error(
                 log_events.UNFINISHED_AT_SHUTDOWN,
@@ -57,7 +58,6 @@
                 attempts=message.attempt_count,
                 in_flight=message.attempt is not None,
             )
-        self.completed.set()
 
     def check_progress(self) -> None:
         """Complete the shutdown if no work is left; called after each answered message and each receipt post."""
--- a/linnetstile/net/client_pool.py
+++ b/linnetstile/net/client_pool.py
@@ -14,7 +14,9 @@
 from .client_call import Address, Call, CallResult, RequestBytes, TlsParameters
 from .client_connection import ClientConnection
 from .connector import HandshakeError, open_connection
+from .fault_boundary import FaultBoundary
 from .idle_connections import IdleConnections
+from .periodic_timers import PeriodicTimers
 
 DEFAULT_CONNECT_TIMEOUT_S = 3.0
 DEFAULT_IDLE_TIMEOUT_S = 15.0
@@ -98,8 +100,9 @@
         self.connections: set[ClientConnection] = set()
         self.counts = {"connects": 0, "reused": 0, "failed": 0, "no_descriptors": 0}
         has_rates = self.rates.request_rate or self.rates.response_rate
-        self._sweep_interval_s = SWEEP_INTERVAL_WITH_RATES_S if has_rates else SWEEP_INTERVAL_S
-        self._sweep_timer = self.loop.call_later(self._sweep_interval_s, self._sweep)
+        sweep_interval_s = SWEEP_INTERVAL_WITH_RATES_S if has_rates else SWEEP_INTERVAL_S
+        self._timers = PeriodicTimers()
+        self._timers.run_every(sweep_interval_s * 1000, self._sweep)
 
     @property
     def idle_count(self) -> int:
@@ -147,7 +150,7 @@
         is_awaited = request.address in self._awaited_addresses
         reserved = None if is_awaited else self.idle_connections.take_oldest(request.address)
         if reserved is None:
-            call.connecting = self.loop.create_task(self._send_on_new_connection(call, request))
+            call.connecting = self.loop.create_task(self._connect_and_send(call, request))
             return
         self._awaited_addresses.add(request.address)
         call.reserved = reserved
@@ -193,6 +196,15 @@
             return None
         return self.idle_connections.take_newest(address, now - self.min_idle_s)
 
+    async def _connect_and_send(self, call: Call, request: _Request) -> None:
+        """Send the call on a new connection; it ends, too, if that raises an unexpected exception."""
+        with FaultBoundary("the connection of a call") as boundary:
+            await self._send_on_new_connection(call, request)
+        if boundary.failed and call.connecting is not None:
+            self._finish_unconnected(call, WireResult.NO_CONNECTION)
+        elif boundary.failed:
+            call.abort(WireResult.CONNECTION_LOST)
+
     async def _send_on_new_connection(self, call: Call, request: _Request) -> None:
         self.counts["connects"] += 1
         failure = WireResult.NO_CONNECTION
@@ -207,7 +219,7 @@
                     failure = WireResult.NOT_SENT
                     await self._free_descriptors()
                     connection = await self._open(request.address, request.tls)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError):  # ValueError: the host name cannot be resolved
             self._finish_unconnected(call, failure)
             return
         call.connecting = None
@@ -279,25 +291,25 @@
         connection.transport.close()
 
     def _sweep(self) -> None:
-        self._close_long_idle()
-        self._abort_slow_calls()
-        self._sweep_timer = self.loop.call_later(self._sweep_interval_s, self._sweep)
-
-    def _close_long_idle(self) -> None:
+        """Close the connections that were idle for too long, and abort the calls of peers that are too slow."""
         for connection in self.idle_connections.idle_since_before(self.loop.time() - self.idle_timeout_s):
             self._close(connection)
-
-    def _abort_slow_calls(self) -> None:
         now_ms = self.loop.time() * 1000
         for connection in list(self.connections):
-            violated_rate = connection.violated_rate(now_ms)
-            if violated_rate and connection.call is not None:
-                self.on_connection_evicted(connection, violated_rate)
-                connection.call.abort(WireResult.TIMED_OUT)
+            with FaultBoundary("a check of a call's rates") as boundary:
+                self._abort_if_slow(connection, now_ms)
+            if boundary.failed:
+                connection.transport.abort()
+
+    def _abort_if_slow(self, connection: ClientConnection, now_ms: float) -> None:
+        violated_rate = connection.violated_rate(now_ms)
+        if violated_rate and connection.call is not None:
+            self.on_connection_evicted(connection, violated_rate)
+            connection.call.abort(WireResult.TIMED_OUT)
 
     def close(self) -> None:
         """Abort all connections, including those with a call, and stop the periodic checks."""
         self.is_closed = True
-        self._sweep_timer.cancel()
+        self._timers.close()
         for connection in list(self.connections):
             connection.transport.abort()
--- a/linnetstile/as2_relay/periodic_timers.py
+++ b/linnetstile/net/periodic_timers.py
@@ -1,4 +1,4 @@
-"""Jobs that run periodically on the event loop."""
+"""Jobs that run periodically on the event loop, whatever a single run of them raises."""
 
 from __future__ import annotations
 
@@ -7,7 +7,10 @@
 
 
 class PeriodicTimers:
-    """Runs jobs at fixed intervals until `close`."""
+    """Runs jobs at fixed intervals until `close`.
+
+    An exception of a job goes to the exception handler of the event loop, and ends only the current run.
+    """
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
@@ -18,8 +21,7 @@
         timer_index = len(self._timers)
 
         def run() -> None:
-            # Schedules the next run first, so that a job that raises an exception ends only the current run.
-            self._timers[timer_index] = self._loop.call_later(interval_ms / 1000, run)
+            self._timers[timer_index] = self._loop.call_later(interval_ms / 1000, run)  # first: the job may raise
             job()
 
         self._timers.append(self._loop.call_later(interval_ms / 1000, run))
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -10,12 +10,14 @@
 import asyncio
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..codec import http1
 from . import connection_phase, server_limits
 from .connection_phase import ConnectionPhase
 from .connection_registry import ConnectionRegistry
+from .fault_boundary import FaultBoundary
+from .periodic_timers import PeriodicTimers
 from .request_context import Handler, RequestContext
 from .request_rejection import close_for_limit, reject_for_shutdown
 from .server_connection import ServerConnection
@@ -86,7 +88,7 @@
             self.loop, self.limits.max_connections, MAX_ACCEPTS_PER_PASS, self._report_eviction
         )
         self._server: asyncio.Server | None = None
-        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._timers = PeriodicTimers()
 
     @property
     def connections(self) -> set[ServerConnection]:
@@ -106,7 +108,7 @@
         for server_socket in self._server.sockets:
             with socket.socket(fileno=os.dup(server_socket.fileno())) as listening:
                 listening.listen(ACCEPT_QUEUE)  # asyncio uses `backlog` for this and for the accepts per pass
-        self._sweep()
+        self._start_sweeps()
         return int(self._server.sockets[0].getsockname()[1])
 
     async def start_local(self, path: str) -> None:
@@ -116,7 +118,7 @@
             self._server = await self.loop.create_unix_server(self._make_protocol, path, backlog=LOCAL_ACCEPT_QUEUE)
         finally:
             os.umask(previous_umask)
-        self._sweep()
+        self._start_sweeps()
 
     def _make_protocol(self) -> asyncio.BaseProtocol:
         connection = ServerConnection(self)
@@ -136,30 +138,47 @@
 
     # -- limits ------------------------------------------------------------------------------------------
 
+    def _start_sweeps(self) -> None:
+        interval_s = min(self.limits.sweep_interval_s, self.limits.head_timeout_s / 4)
+        self._timers.run_every(interval_s * 1000, self._sweep)
+
     def _sweep(self) -> None:
-        """Close the connections that exceed a limit, now and at regular intervals."""
+        """Close the connections that exceed a limit."""
         now = self.loop.time()
-        for connection in list(self.connections):
-            limit = violated_limit(connection, now)
-            if limit:
-                self.count(server_limits.counter_name(limit))
-                if limit not in server_limits.ORDERLY_LIMITS:
-                    self.on_connection_evicted(connection, limit)
-                close_for_limit(connection, limit)
-        interval_s = min(self.limits.sweep_interval_s, self.limits.head_timeout_s / 4)
-        self._sweep_timer = self.loop.call_later(interval_s, self._sweep)
+        self._for_each(self.connections, "a check of a connection's limits", lambda each: self._enforce(each, now))
+
+    def _enforce(self, connection: ServerConnection, now: float) -> None:
+        """Close a connection if it exceeds a limit."""
+        limit = violated_limit(connection, now)
+        if not limit:
+            return
+        self.count(server_limits.counter_name(limit))
+        if limit not in server_limits.ORDERLY_LIMITS:
+            self.on_connection_evicted(connection, limit)
+        close_for_limit(connection, limit)
+
+    @staticmethod
+    def _for_each(
+        connections: Iterable[ServerConnection], work: str, function: Callable[[ServerConnection], None]
+    ) -> None:
+        """Call a function with each connection; one for which it raises an exception is aborted."""
+        for connection in list(connections):
+            with FaultBoundary(work) as boundary:
+                function(connection)
+            if boundary.failed:
+                connection.transport.abort()
 
     # -- shutting down -----------------------------------------------------------------------------------
 
     def close_idle(self) -> None:
         """Close idle connections in an orderly way, except those with unread input, whose next request has arrived."""
-        for connection in self._open_connections_in((connection_phase.IDLE,)):
-            close_for_limit(connection, server_limits.IDLE)
+        idle = self._open_connections_in((connection_phase.IDLE,))
+        self._for_each(idle, "the close of an idle connection", lambda each: close_for_limit(each, server_limits.IDLE))
 
     def reject_incomplete_requests(self, text: str) -> None:
         """Answer 503 to the clients of incomplete requests: they were not accepted."""
-        for connection in self._open_connections_in(connection_phase.INCOMPLETE_PHASES):
-            reject_for_shutdown(connection, text)
+        incomplete = self._open_connections_in(connection_phase.INCOMPLETE_PHASES)
+        self._for_each(incomplete, "the rejection of a request", lambda each: reject_for_shutdown(each, text))
 
     def _open_connections_in(self, phases: tuple[ConnectionPhase, ...]) -> list[ServerConnection]:
         """Return the connections that are in one of these phases and are not being closed."""
@@ -184,8 +203,7 @@
     def close(self) -> None:
         """Close the listener and abort all connections, including those that wait for a response."""
         self.stop_listening()
-        if self._sweep_timer:
-            self._sweep_timer.cancel()
+        self._timers.close()
         for connection in list(self.connections):
             connection.transport.abort()
 
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -13,6 +13,7 @@
 from . import connection_phase
 from .connection import BufferedConnection
 from .connection_phase import ConnectionPhase
+from .fault_boundary import FaultBoundary
 from .request_body import RequestBody
 from .request_context import RequestContext
 from .request_input import RequestInput
@@ -58,6 +59,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or close it if the server is full. Called by asyncio."""
         super().connection_made(transport)
+        with FaultBoundary("a new connection") as boundary:
+            self._register()
+        if boundary.failed:
+            self.transport.abort()
+
+    def _register(self) -> None:
         self.host = self.peer_host()
         if not self.server.admit_connection(self):
             self.server.count("refused_connections")
@@ -154,7 +161,17 @@
         """Schedule the handling of received input for the next pass of the event loop."""
         if not self.processing_scheduled:
             self.processing_scheduled = True
-            self.server.loop.call_soon(self._process_events)
+            self.server.loop.call_soon(self._process_scheduled)
+
+    def _process_scheduled(self) -> None:
+        """Handle received events; the connection is aborted if that raises an unexpected exception.
+
+        The event loop does the same for an exception in `received`.
+        """
+        with FaultBoundary("a request") as boundary:
+            self._process_events()
+        if boundary.failed:
+            self.transport.abort()
 
     def _apply_back_pressure(self) -> None:
         """Pause or resume reading, so that input behind a waiting request stays in the kernel."""
--- a/linnetstile/platform_relay/counters.py
+++ b/linnetstile/platform_relay/counters.py
@@ -22,6 +22,9 @@
 ATTEMPTS: Final = "attempts"
 ATTEMPTS_ENDED: Final = {outcome: f"ended_{outcome.value}" for outcome in Outcome}
 
+# Unexpected exceptions, each with a log event `fault`.
+FAULTS: Final = "faults"
+
 # Messages that the engine gave up.
 MESSAGES_REJECTED: Final = "refused"
 MESSAGES_FAILED: Final = "failed"
--- a/linnetstile/platform_relay/discovery.py
+++ b/linnetstile/platform_relay/discovery.py
@@ -23,6 +23,7 @@
     ResumePolicy,
     watch_deadline,
 )
+from ..net.fault_boundary import FaultBoundary
 from . import log_events
 from .config import Address
 from .directory import Directory
@@ -174,25 +175,39 @@
 
     async def _run(self) -> None:
         while True:
-            connection = None
-            is_useful = False
-            try:
-                connection = self._take_late_answer() or await self._open()
-                if not self._late_answer.done():
-                    await self._run_watch(connection)
-                if self._late_answer.done():  # an earlier watch was answered before this one
-                    connection.close()
-                    continue
-                is_useful = connection.is_useful
-                if is_useful and connection.is_valid and (connection.list_received or not connection.is_mid_element):
-                    self.failures = 0
-            except (OSError, TimeoutError, ValueError):  # ValueError: the host name cannot be resolved
-                pass
-            self._connection_ended(connection, is_useful)
-            self.failures += 1
-            await asyncio.wait(
-                [self._late_answer], timeout=backoff_ms(self.failures, WATCH_BACKOFF_MS, self.rng) / 1000
-            )
+            with FaultBoundary("a watch of discovery") as boundary:
+                await self._run_next_watch()
+            if boundary.failed:
+                self._discard_watch()
+            backoff_s = backoff_ms(max(1, self.failures), WATCH_BACKOFF_MS, self.rng) / 1000
+            await asyncio.wait([self._late_answer], timeout=backoff_s)
+
+    async def _run_next_watch(self) -> None:
+        """Open a watch, or take an earlier one that was answered since, and wait for its end."""
+        connection = None
+        is_useful = False
+        try:
+            connection = self._take_late_answer() or await self._open()
+            if not self._late_answer.done():
+                await self._run_watch(connection)
+            if self._late_answer.done():  # an earlier watch was answered before this one
+                connection.close()
+                return
+            is_useful = connection.is_useful
+            if is_useful and connection.is_valid and (connection.list_received or not connection.is_mid_element):
+                self.failures = 0
+        except (OSError, TimeoutError, ValueError):  # ValueError: the host name cannot be resolved
+            pass
+        self._connection_ended(connection, is_useful)
+        self.failures += 1
+
+    def _discard_watch(self) -> None:
+        """Close a watch that raised an unexpected exception; the next one requests the full list."""
+        if self.connection:
+            self.connection.close()
+        self.connection = None
+        self.resume_policy.watch_ended(has_delivered=False, is_valid=False, in_element=False)
+        self.failures += 1
 
     def _take_late_answer(self) -> WatchConnection | None:
         """Return the earlier watch that was answered while or after the next one was tried; None if there is none."""
--- a/linnetstile/platform_relay/endpoint_client.py
+++ b/linnetstile/platform_relay/endpoint_client.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass
 
 from ..codec import http1
-from ..engine.attempt_outcome import AttemptObservation, AttemptVerdict, judge_endpoint_attempt
+from ..engine.attempt_outcome import AttemptObservation, AttemptVerdict, WireResult, judge_endpoint_attempt
 from ..engine.connection_policy import IDLE_REUSE_FRACTION
 from ..engine.resource_limits import MAX_BODY_BYTES, MAX_HEAD_BYTES, ResourceLimits
 from ..net import client
+from ..net.fault_boundary import FaultBoundary
 from .config import RelaySettings
 from .endpoint_record import EndpointAddress
 
@@ -126,7 +127,10 @@
 
         def on_done(call_result: client.CallResult) -> None:
             after_deadline = self.pool.loop.time() >= deadline
-            on_ended(self._attempt_result(call_result, after_deadline=after_deadline))
+            result = None
+            with FaultBoundary("the answer to an attempt"):
+                result = self._attempt_result(call_result, after_deadline=after_deadline)
+            on_ended(result or self._unreadable_result(call_result))
 
         return self.pool.call(
             _pool_address(address),
@@ -154,6 +158,13 @@
             connection_reused=call_result.reused_connection,
         )
 
+    @staticmethod
+    def _unreadable_result(call_result: client.CallResult) -> AttemptResult:
+        """Return the result of an attempt whose answer cannot be evaluated: only its status counts."""
+        status = call_result.head.status if call_result.head else call_result.first_line_status
+        verdict = judge_endpoint_attempt(AttemptObservation(WireResult.MALFORMED), status)
+        return AttemptResult(verdict, load_report=(), connection_reused=call_result.reused_connection)
+
     def close_idle(self, address: EndpointAddress) -> None:
         """Close the idle connections to an endpoint."""
         self.pool.close_idle(_pool_address(address))
--- a/linnetstile/platform_relay/notices.py
+++ b/linnetstile/platform_relay/notices.py
@@ -13,6 +13,7 @@
 from ..engine.attempt_outcome import WireResult
 from ..engine.resource_limits import MAX_BODY_BYTES, NOTICE_BACKOFF_MS, NOTICE_TIMEOUT_S, backoff_ms
 from ..net import client
+from ..net.fault_boundary import FaultBoundary
 from .config import Address
 from .journal_codec import encode_notice
 from .records import Notice
@@ -78,7 +79,14 @@
         self._timer = self._loop.call_later(delay_s, self._send)
 
     def _send(self) -> None:
+        """Post the next batch; if that raises an exception, the batch has failed and is posted again."""
         self._timer = None
+        with FaultBoundary("a post of notices") as boundary:
+            self._post_batch()
+        if boundary.failed:
+            self._batch_failed()
+
+    def _post_batch(self) -> None:
         self._choose_batch()
         if not self.in_flight:
             return
@@ -98,9 +106,23 @@
                 break
             self.in_flight.append(message_id)
 
+    def _batch_failed(self) -> None:
+        self.in_flight = []
+        self.failures += 1
+        self._schedule(self._backoff_s())
+
     def _on_answer(self, answer: client.CallResult) -> None:
         message_ids = self.in_flight
         self.in_flight = []
+        with FaultBoundary("the answer to a post of notices"):
+            self._judge(answer, message_ids)
+        if self.pending:
+            self._schedule(self._backoff_s())
+        else:
+            self.sends_singly = False
+
+    def _judge(self, answer: client.CallResult, message_ids: list[int]) -> None:
+        """Record whether the platform has confirmed the notices of a post."""
         status = answer.head.status if answer.wire_result is WireResult.ANSWERED and answer.head else NO_STATUS
         is_bad_request = status == HTTP_BAD_REQUEST
         if 200 <= status < 300 or (is_bad_request and len(message_ids) == 1):
@@ -108,10 +130,6 @@
         else:
             self.sends_singly = is_bad_request
             self.failures += 1
-        if self.pending:
-            self._schedule(self._backoff_s())
-        else:
-            self.sends_singly = False
 
     def _on_confirmed(self, message_ids: list[int], *, is_invalid: bool) -> None:
         self.failures = 0
--- a/linnetstile/platform_relay/process.py
+++ b/linnetstile/platform_relay/process.py
@@ -10,9 +10,14 @@
 import signal
 import sys
 import time
+import traceback
+from collections import Counter
+from pathlib import Path
+from typing import Any
 
 from ..errors import ConfigError
-from . import log_events
+from ..net.periodic_timers import PeriodicTimers
+from . import counters, log_events
 from .config import RelaySettings, load
 from .relay import PlatformRelay
 
@@ -42,16 +47,15 @@
         self._relay = relay
         self._last_cpu_s = time.process_time()
         self._last_counts: dict[str, int] = {}
-        self._due_at = 0.0  # loop time, s
-        self._schedule()
-
-    def _schedule(self) -> None:
-        self._due_at = self._relay.loop.time() + STATS_INTERVAL_S
-        self._relay.loop.call_at(self._due_at, self._report)
+        self._due_at = relay.loop.time() + STATS_INTERVAL_S  # loop time, s
+        self._timers = PeriodicTimers()
+        self._timers.run_every(STATS_INTERVAL_S * 1000, self._report)
 
     def _report(self) -> None:
         cpu_s = time.process_time()
-        delay_s = self._relay.loop.time() - self._due_at
+        now = self._relay.loop.time()
+        delay_s = now - self._due_at
+        self._due_at = now + STATS_INTERVAL_S
         counts = dict(self._relay.counts)
         log(
             log_events.STATS,
@@ -64,7 +68,6 @@
         )
         self._last_cpu_s = cpu_s
         self._last_counts = counts
-        self._schedule()
 
     def _current_state(self) -> dict[str, int]:
         """Return the current numbers of messages, attempts, connections and ejected routes, and the journal's size."""
@@ -151,6 +154,7 @@
 async def _start(settings: RelaySettings) -> PlatformRelay | None:
     try:
         relay = PlatformRelay(settings, log)
+        _report_faults(relay.counts)
         del settings  # a reference here would keep the cached endpoint list in memory after `start` drops it
         await relay.start()
     except OSError as error:
@@ -159,13 +163,21 @@
     return relay
 
 
-def _log_fault(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-    """Log an exception in a callback of the event loop.
+def _report_faults(counts: Counter[str]) -> None:
+    """Log and count every exception that reaches the event loop; docs/design/faults.md has what each of them ends."""
 
-    A message concerned stays pending until its deadline. If it had an attempt in flight, the engine never learns how
-    that attempt ended: the message gets no result, and its slot is not free again.
-    """
-    log(log_events.FAULT, why=context.get("message", ""), error=repr(context.get("exception")))
+    def on_fault(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        counts[counters.FAULTS] += 1
+        error = context.get("exception")
+        log(log_events.FAULT, why=context.get("message", ""), error=repr(error), at_line=_raised_at(error))
+
+    asyncio.get_running_loop().set_exception_handler(on_fault)
+
+
+def _raised_at(error: BaseException | None) -> str:
+    """Return the file and the line that raised an exception; empty if that is not known."""
+    frames = traceback.extract_tb(error.__traceback__) if error is not None else None
+    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
 
 
 async def run() -> int:
@@ -179,7 +191,6 @@
     relay = await starting
     if relay is None:
         return EXIT_CANNOT_START
-    asyncio.get_running_loop().set_exception_handler(_log_fault)
     early_signals.pass_to(relay)
     gc.collect()
     gc.freeze()  # most objects created at the start live as long as the process, so collections skip them
--- a/linnetstile/platform_relay/shutdown.py
+++ b/linnetstile/platform_relay/shutdown.py
@@ -47,11 +47,11 @@
         # Checked only once the exit is due, as it examines every connection.
         has_unread_input = elapsed_ms >= EXIT_MS and self._frontend.server.has_unread_input
         phase = shutdown_phase(elapsed_ms, has_unread_input)
+        if phase.exits:
+            self.stopped.set()
+        else:  # before the steps, so that an exception in one of them does not end the shutdown
+            self._loop.call_later(CHECK_INTERVAL_S if phase.accepts else FINAL_CHECK_INTERVAL_S, self._advance)
         if not phase.admits:
             self._frontend.stop_admitting()
         if not phase.accepts:
             self._frontend.stop_accepting()
-        if phase.exits:
-            self.stopped.set()
-            return
-        self._loop.call_later(CHECK_INTERVAL_S if phase.accepts else FINAL_CHECK_INTERVAL_S, self._advance)
--- a/linnetstile/platform_relay/watch_connection.py
+++ b/linnetstile/platform_relay/watch_connection.py
@@ -12,6 +12,7 @@
 from ..engine.events import Endpoint
 from ..engine.watch_policy import ENTRIES_PER_EVENT
 from ..net.connection import BufferedConnection
+from ..net.fault_boundary import FaultBoundary
 from .directory import Directory
 from .list_entry import ENTRIES_KEY, FULL_KEY, VERSION_KEY
 from .list_update import InvalidListError, ListUpdate
@@ -107,6 +108,12 @@
         """Process received bytes of the response."""
         if self.closed.done():
             return
+        with FaultBoundary("a list of discovery") as boundary:
+            self._read(data)
+        if boundary.failed:
+            self._discard()
+
+    def _read(self, data: memoryview) -> None:
         self.last_byte_at = self._loop.time()
         if not self.is_answered:
             self.is_answered = True
@@ -174,6 +181,13 @@
         self._loop.call_soon(self._run_scheduled_step)
 
     def _run_scheduled_step(self) -> None:
+        with FaultBoundary("a list of discovery") as boundary:
+            self._continue()
+        if boundary.failed:
+            self._discard()
+
+    def _continue(self) -> None:
+        """Run the next steps, and read further input once no more are needed."""
         self.last_byte_at = self._loop.time()  # reading was paused, so the silence is not discovery's
         self._run_steps()
         if self._reading_paused and not self.step_scheduled and not self.is_closing:
@@ -233,6 +247,11 @@
 
     # -- end -------------------------------------------------------------------------------------------------
 
+    def _discard(self) -> None:
+        """End the watch after an unexpected exception: a list that was half read is not continued."""
+        self.is_valid = False
+        self.close()
+
     def close(self) -> None:
         """End the watch; bytes that arrive later are ignored."""
         if not self.closed.done():
--- a/tests/net/test_server_limits.py
+++ b/tests/net/test_server_limits.py
@@ -3,27 +3,45 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import pytest
 
+from linnetstile.engine.attempt_outcome import WireResult
+from linnetstile.net import client, client_pool, server_limits
+from linnetstile.net.periodic_timers import PeriodicTimers
 from linnetstile.net.server import RequestContext, Server, ServerLimits
 from linnetstile.net.server_connection import ServerConnection
 from linnetstile.net.server_limits import LINGER_TIMEOUT_S
 
 HALF_REQUEST = b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhello"
 NO_SWEEP_S = 3600.0  # the tests check the limits themselves, so that the order of events is the same each time
-OnHead = Callable[[RequestContext], object]
+LIMITS = ServerLimits(max_connections=64, sweep_interval_s=NO_SWEEP_S, head_timeout_s=NO_SWEEP_S)
+OnHead = Callable[[RequestContext], None]
 
 
 def wait_for_body(request: RequestContext) -> None:
     """Accept the head: the body is read."""
 
 
+def reject_and_close(request: RequestContext) -> None:
+    request.reply(400, close=True)
+
+
+def reject_and_skip_body(request: RequestContext) -> None:
+    request.reply(400)
+
+
+def answer_unless_answered(request: RequestContext) -> None:
+    if not request.answered:
+        request.reply(200)
+
+
 ANSWERS_TO_HEAD: dict[str, OnHead] = {
     "none, as the body is expected": wait_for_body,
-    "an error that closes the connection": lambda request: request.reply(400, close=True),
-    "an error after which the body is skipped": lambda request: request.reply(400),
+    "an error that closes the connection": reject_and_close,
+    "an error after which the body is skipped": reject_and_skip_body,
 }
 
 
@@ -34,23 +52,26 @@
 
 
 def run_with_server(
-    on_head: OnHead, scenario: Callable[[Server, int], Awaitable[None]], max_connections: int = 64
+    scenario: Callable[[Server, int], Awaitable[None]],
+    on_head: OnHead = wait_for_body,
+    handler: OnHead = answer_unless_answered,
+    expected_faults: int = 0,
+    limits: ServerLimits = LIMITS,
 ) -> None:
-    """Run a scenario with a server that answers complete requests 200; fail if a callback raised an exception."""
+    """Run a scenario with a server; fail unless its callbacks raised the expected number of exceptions."""
 
     async def run() -> None:
         faults: list[object] = []
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: faults.append(context.get("exception")))
-        limits = ServerLimits(max_connections=max_connections, sweep_interval_s=NO_SWEEP_S, head_timeout_s=NO_SWEEP_S)
-        server = Server(lambda request: request.answered or request.reply(200), on_head=on_head, limits=limits)
+        server = Server(handler, on_head=on_head, limits=limits)
         port = await server.start()
         try:
             await scenario(server, port)
         finally:
             server.close()
-            await asyncio.sleep(0)
-        assert not faults
+            await asyncio.sleep(0.01)
+        assert len(faults) == expected_faults
 
     asyncio.run(run())
 
@@ -89,4 +110,100 @@
         await wait_until(lambda: not server.connections)
         writer.close()
 
-    run_with_server(ANSWERS_TO_HEAD[answer], scenario)
+    run_with_server(scenario, ANSWERS_TO_HEAD[answer])
+
+
+def test_exception_in_the_check_of_one_connection_ends_neither_the_checks_nor_those_of_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against the end of all time limits: the checks set their next timer in their last line.
+    original = server_limits.violated_limit
+    broken: list[ServerConnection] = []
+
+    def violated_limit(connection: ServerConnection, now: float) -> str:
+        if not broken:
+            broken.append(connection)
+            raise KeyError("state of this connection")
+        return original(connection, now)
+
+    async def scenario(server: Server, port: int) -> None:
+        peers = [await asyncio.open_connection("127.0.0.1", port) for _ in range(8)]
+        await wait_until(lambda: len(server.connections) == len(peers))
+        monkeypatch.setattr("linnetstile.net.server.violated_limit", violated_limit)
+        await wait_until(lambda: broken)
+        assert broken[0].is_closing
+        for reader, writer in peers:
+            with contextlib.suppress(ConnectionError):
+                assert await asyncio.wait_for(reader.read(), 3.0) == b""
+            writer.close()
+        await wait_until(lambda: not server.connections)
+        assert server.counts["let_go_head"] == len(peers) - 1
+
+    run_with_server(scenario, limits=ServerLimits(sweep_interval_s=0.05, head_timeout_s=0.3), expected_faults=1)
+
+
+def test_connection_whose_later_request_raises_an_exception_is_closed() -> None:
+    # Guards against connections that stay open for ever: an exception in a scheduled step closed nothing.
+    def handler(request: RequestContext) -> None:
+        if request.head.target == "/broken":
+            raise KeyError("state of this request")
+        request.reply(200)
+
+    async def scenario(server: Server, port: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n"
+        writer.write(head % b"/first" + head % b"/broken")
+        with contextlib.suppress(ConnectionError):
+            await asyncio.wait_for(reader.read(), 3.0)
+        await wait_until(lambda: not server.connections)
+        writer.close()
+
+    run_with_server(scenario, handler=handler, expected_faults=1)
+
+
+def test_exception_in_a_job_ends_only_its_current_run() -> None:
+    runs: list[int] = []
+
+    def job() -> None:
+        runs.append(len(runs))
+        if len(runs) == 1:
+            raise KeyError("first run")
+
+    async def scenario(server: Server, port: int) -> None:
+        timers = PeriodicTimers()
+        timers.run_every(1.0, job)
+        await wait_until(lambda: len(runs) >= 3)
+        timers.close()
+
+    run_with_server(scenario, expected_faults=1)
+
+
+def test_call_to_a_host_that_has_no_address_ends_at_once() -> None:
+    # Guards against a call that ends only at its time-out: resolving such a name raises a ValueError.
+    results: list[client.CallResult] = []
+
+    async def scenario(server: Server, port: int) -> None:
+        pool = client.ConnectionPool()
+        pool.call(("a..b", 80), "GET", b"GET / HTTP/1.1\r\n\r\n", results.append)
+        await wait_until(lambda: results)
+        pool.close()
+
+    run_with_server(scenario)
+    assert [result.wire_result for result in results] == [WireResult.NO_CONNECTION]
+
+
+def test_call_whose_connection_raises_an_unexpected_exception_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    results: list[client.CallResult] = []
+
+    async def open_connection(connection: object, tls: object) -> None:
+        raise KeyError("state of this connection")
+
+    async def scenario(server: Server, port: int) -> None:
+        monkeypatch.setattr(client_pool, "open_connection", open_connection)
+        pool = client.ConnectionPool()
+        pool.call(("127.0.0.1", port), "GET", b"GET / HTTP/1.1\r\n\r\n", results.append)
+        await wait_until(lambda: results)
+        pool.close()
+
+    run_with_server(scenario, expected_faults=1)
+    assert [result.wire_result for result in results] == [WireResult.NO_CONNECTION]
