A turn of the engine that raises an exception costs no message and no later turn

Cause: EngineLoop._run_turn had no end for an exception of DeliveryEngine.handle or of the relay's actions. Change: the engine is restarted (DeliveryEngine.restart) and told again what the relay knows: list, shutdown, messages with their attempts; unanswered clients get 503, a call that is out ends first, calls in order are cancelled.

--- a/linnetstile/as2_relay/action_dispatcher.py
+++ b/linnetstile/as2_relay/action_dispatcher.py
@@ -76,6 +76,13 @@
             case Log():
                 self.context.log.info(log_events.ENGINE_MESSAGE, text=action.text)
 
+    def end(self, message: AcceptedMessage) -> None:
+        """End a message by what its attempts prove, for an engine that does not know of it any more."""
+        if message.attempt_count:
+            self._fail(message)
+        else:
+            self._refuse(message, retry_after_ms=0.0)
+
     def _refuse(self, message: AcceptedMessage, retry_after_ms: float) -> None:
         """Answer that the message had no effect and may be submitted again after `retry_after_ms`."""
         text = f"refused: {_failure_reason(message)}; nothing was done, it may be handed in again"
--- a/linnetstile/as2_relay/registry.py
+++ b/linnetstile/as2_relay/registry.py
@@ -18,6 +18,7 @@
 from ..config.relay import PartnerUrl, require_loopback, split_address
 from ..engine.events import Endpoint, EndpointList, EndpointStatus, ListKind
 from ..net import client
+from ..net.fault_boundary import FaultBoundary
 from ..telemetry import log_events
 from ..telemetry.log import Logger
 
@@ -97,6 +98,7 @@
 
     Attributes:
         endpoints: Address of each endpoint, by its identifier; one that is gone stays until a full list omits it.
+        listed: Each listed endpoint as the engine gets it, by its identifier.
         partner_numbers: Number of each partner in the engine; numbers are never reused, as messages may still name
             them.
         version: Version of the latest list; -1 before the first one.
@@ -133,6 +135,7 @@
         self.log = log
         self.pool = client.ConnectionPool(limits=http1.Limits(max_body_bytes=MAX_LIST_BYTES))
         self.endpoints: dict[int, EndpointAddress] = {}
+        self.listed: dict[int, Endpoint] = {}
         self.partner_numbers: dict[str, int] = {}
         self.version = -1
         self.is_watching = False
@@ -154,7 +157,14 @@
 
     def _get(self, target: str, timeout_s: float, on_answer: Callable[[client.CallResult], None]) -> None:
         data = http1.encode_request("GET", target, [("Host", self.host), ("Via", f"1.1 {self.relay_name}")])
-        self.pool.call(self.address, "GET", data, on_answer, asyncio.get_running_loop().time() + timeout_s)
+
+        def on_done(answer: client.CallResult) -> None:
+            with FaultBoundary("a list of the registry") as boundary:
+                on_answer(answer)
+            if boundary.failed:
+                self._fail("a list that could not be processed")
+
+        self.pool.call(self.address, "GET", data, on_done, asyncio.get_running_loop().time() + timeout_s)
 
     def _read(self, answer: client.CallResult) -> RegistryDocument | None:
         """Parse an answer; if that fails, report the failure and return None."""
@@ -191,6 +201,7 @@
         removed = [endpoint_id for endpoint_id in self.endpoints if endpoint_id not in listed]
         for endpoint_id in removed:
             del self.endpoints[endpoint_id]
+        self.listed = {}
         self._apply(document, ListKind.FULL)
 
     def _on_changes(self, answer: client.CallResult) -> None:
@@ -225,6 +236,11 @@
         partner_number = self.partner_numbers.setdefault(entry.partner, len(self.partner_numbers))
         if entry.status != "gone":
             self.endpoints[entry.id] = EndpointAddress.from_entry(entry)
+        endpoint = self._endpoint(entry, partner_number)
+        self.listed[entry.id] = endpoint
+        return endpoint
+
+    def _endpoint(self, entry: RegistryEntry, partner_number: int) -> Endpoint:
         return Endpoint(
             id=entry.id,
             destination=partner_number,
@@ -234,6 +250,10 @@
             advertised_rate=entry.rate,
         )
 
+    def current_list(self) -> EndpointList:
+        """Return the list as it is known now, for an engine that was restarted."""
+        return EndpointList(ListKind.FULL, tuple(self.listed.values()))
+
     def close(self) -> None:
         """End the watch and close the connection to the registry."""
         self.is_closed = True
--- a/linnetstile/as2_relay/relay.py
+++ b/linnetstile/as2_relay/relay.py
@@ -28,6 +28,7 @@
 from .shutdown import DEADLINE_MARGIN_MS, GracefulShutdown
 from .submissions import SubmissionHandler
 from .tls_keys import TlsKeyStore
+from .turn_recovery import TurnRecovery
 
 TLS_RELOAD_INTERVAL_MS = 1000.0
 INCARNATION_BYTES = 6
@@ -64,7 +65,9 @@
         self.periodic_timers = PeriodicTimers()
         self.classes = engine_settings.classes
         self.engine = DeliveryEngine(engine_settings, settings.seed if seed is None else seed)
-        self.engine_loop = EngineLoop(self.engine, self._carry_out)
+        self.engine_loop = EngineLoop(
+            self.engine, self._carry_out, on_turn_failed=lambda plan: self.turn_recovery.recover(plan)
+        )
         self.context = RelayContext(log=log, post_event=self.engine_loop.post)
         self.accepted = self.context.accepted
         self.counts = self.context.counts
@@ -82,6 +85,7 @@
         self.submissions = self._make_submission_handler()
         self.delivery = self._make_delivery()
         self.action_dispatcher = self._make_action_dispatcher()
+        self.turn_recovery = TurnRecovery(self.context, self.delivery, self.action_dispatcher, self.registry)
         self.gossip = self._make_gossip_service()
         self.intake = self._make_intake()
         self.listener = assembly.make_listener(limits, self.intake, self.admission, reporter, self.tls_keys)
--- a/linnetstile/engine/engine.py
+++ b/linnetstile/engine/engine.py
@@ -61,6 +61,15 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.rng = random.Random(seed)
+        self.restart()
+
+    def restart(self) -> None:
+        """Discard all state but the random number generator, as a new process has none.
+
+        For a host in which a turn raised an unexpected exception: the state may be half changed. The host passes the
+        endpoints and its messages again, the latter as `MessageRecovered`.
+        """
+        settings = self.settings
         self.queues = MessageQueues()
         self.fleet_latency = FleetLatency()
         self.connections = ConnectionPolicy()
--- a/linnetstile/net/engine_loop.py
+++ b/linnetstile/net/engine_loop.py
@@ -1,6 +1,7 @@
 """Runs the engine on an asyncio event loop: provides its clock and its timer, and schedules its turns.
 
-A turn is one call of `DeliveryEngine.handle` with all events that were posted in one pass of the event loop.
+A turn is one call of `DeliveryEngine.handle` with all events that were posted in one pass of the event loop. If a turn
+raises an unexpected exception, the engine is restarted: its state may be half changed, and events and actions are lost.
 """
 
 from __future__ import annotations
@@ -12,6 +13,8 @@
 from ..engine.actions import Action, HealthCheck, SetTimer
 from ..engine.engine import DeliveryEngine
 from ..engine.events import Event, HealthCheckEnded, Message, MessageRecovered, Outcome, TimerFired
+from ..engine.turn_recovery import TurnRecoveryPlan, TurnRecoveryPolicy
+from .fault_boundary import FaultBoundary
 
 
 def age_event(event: Event, elapsed_ms: float) -> Event:
@@ -56,11 +59,23 @@
         turn_scheduled: Whether the next turn is scheduled.
         closed: Whether `close` was called; no further turn runs after it.
         timer: The engine's timer that was set last.
+        on_turn_failed: Called after a turn that raised an exception, with the engine restarted: passes what the relay
+            knows to the engine again.
+        turns_failed: Number of turns that raised an exception.
+        recovery_policy: Decides how to go on after such a turn.
     """
 
-    def __init__(self, engine: DeliveryEngine, carry_out: Callable[[list[Event], list[Action]], None]) -> None:
+    def __init__(
+        self,
+        engine: DeliveryEngine,
+        carry_out: Callable[[list[Event], list[Action]], None],
+        on_turn_failed: Callable[[TurnRecoveryPlan], None],
+    ) -> None:
         self.engine = engine
         self.carry_out = carry_out
+        self.on_turn_failed = on_turn_failed
+        self.turns_failed = 0
+        self.recovery_policy = TurnRecoveryPolicy()
         self.loop = asyncio.get_running_loop()
         self.events: list[PostedEvent] = []
         self.turn_scheduled = False
@@ -87,6 +102,20 @@
         self.turn_scheduled = False
         if self.closed:
             return
+        with FaultBoundary("a turn of the engine") as boundary:
+            self._handle_events()
+        if boundary.failed:
+            self._restart_engine()
+
+    def _restart_engine(self) -> None:
+        """Restart the engine after a failed turn; posted events are dropped, as the relay passes all it knows again."""
+        self.turns_failed += 1
+        self.stop()
+        self.events = []
+        self.engine.restart()
+        self.on_turn_failed(self.recovery_policy.record_failure(self.now_ms))
+
+    def _handle_events(self) -> None:
         now_ms = self.now_ms
         events = self._take_events(now_ms)
         host_actions: list[Action] = []
--- a/linnetstile/platform_relay/accepted.py
+++ b/linnetstile/platform_relay/accepted.py
@@ -21,12 +21,14 @@
         address: Address of its endpoint.
         started_at_ms: Loop time (ms) of its start.
         call: The HTTP call; None before it is made.
+        was_handed_over: Whether the engine was restarted since it started, and does not know of it.
     """
 
     number: int
     address: EndpointAddress
     started_at_ms: float
     call: client.Call | None = None
+    was_handed_over: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/linnetstile/platform_relay/counters.py
+++ b/linnetstile/platform_relay/counters.py
@@ -24,6 +24,7 @@
 
 # Unexpected exceptions, each with a log event `fault`.
 FAULTS: Final = "faults"
+ENGINE_RESTARTS: Final = "engine_restarts"  # turns of the engine that raised one
 
 # Messages that the engine gave up.
 MESSAGES_REJECTED: Final = "refused"
--- a/linnetstile/platform_relay/delivery.py
+++ b/linnetstile/platform_relay/delivery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -11,6 +11,7 @@
 from ..engine.attempt_outcome import AttemptVerdict, WireResult
 from ..engine.events import AttemptEnded, Outcome
 from ..net.engine_loop import EngineLoop
+from ..net.fault_boundary import FaultBoundary
 from . import clock, counters, journal_codec
 from .accepted import AcceptedMessage, AcceptedMessages, Attempt
 from .directory import Directory
@@ -34,6 +35,7 @@
     Attributes:
         waiting_for_order: Sends by ordering key. Each waits until the platform has confirmed the notice of an earlier
             message with the same key.
+        on_handed_over_ended: Called with a message that has not ended, after an attempt that the engine does not know.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         endpoint_client: EndpointClient,
         engine_loop: EngineLoop,
         counts: Counter[str],
+        on_handed_over_ended: Callable[[AcceptedMessage], None],
     ) -> None:
         self.waiting_for_order: dict[int, Send] = {}
+        self.on_handed_over_ended = on_handed_over_ended
         self._accepted = accepted
         self._pending_notices = pending_notices
         self._journal = journal
@@ -134,6 +138,9 @@
         started.message.attempt = None
         self._counts[counters.ATTEMPTS_ENDED[outcome]] += 1
         self._journal_end(started.message, verdict)
+        if attempt.was_handed_over:
+            self._end_handed_over(started.message, verdict)
+            return
         self._post_event(
             AttemptEnded(
                 id=send.id,
@@ -151,6 +158,37 @@
         if verdict.is_final:
             self._accepted.remove(started.message.journaled.id)
 
+    def _end_handed_over(self, message: AcceptedMessage, verdict: AttemptVerdict) -> None:
+        """End a message by an attempt that the engine does not know, or pass the message to the engine again."""
+        if verdict.is_final:
+            self._accepted.remove(message.journaled.id)
+        else:
+            self.on_handed_over_ended(message)
+
+    def hand_over(self) -> None:
+        """Go on without the engine that requested the attempts in flight; it has been restarted.
+
+        What has not been sent is not sent any more; attempts whose call is out go on until they end. Those of messages
+        in order are cancelled, as the restarted engine would not hold back their successors. One whose call was never
+        made, as its turn failed, counts as one that may have taken effect.
+        """
+        self.waiting_for_order.clear()
+        for message in list(self._accepted.by_id.values()):
+            attempt = message.attempt
+            if attempt is not None:
+                with FaultBoundary("the cancellation of a call"):
+                    self._cancel_for_hand_over(message, attempt)
+                attempt.was_handed_over = True
+
+    @staticmethod
+    def _cancel_for_hand_over(message: AcceptedMessage, attempt: Attempt) -> None:
+        if attempt.call is None:
+            message.attempt = None
+        elif message.ordering_key:
+            attempt.call.abort(WireResult.CANCELLED)
+        else:
+            attempt.call.cancel_if_unsent()
+
     def _journal_end(self, message: AcceptedMessage, verdict: AttemptVerdict) -> None:
         """Journal the end of an attempt."""
         journaled = message.journaled
--- a/linnetstile/platform_relay/intake.py
+++ b/linnetstile/platform_relay/intake.py
@@ -11,6 +11,7 @@
 from ..engine.resource_limits import ResourceLimits
 from ..engine.settings import MessageClass, Settings
 from ..net import server
+from ..net.fault_boundary import FaultBoundary
 from . import clock, counters, journal_codec
 from .accepted import AcceptedMessage, AcceptedMessages
 from .directory import Directory
@@ -149,6 +150,22 @@
                 self._accepted.remove(message_id)
                 self._post_event(ClientCancelled(message_id))
 
+    def reject_unanswered(self) -> None:
+        """Reject each message whose client has no answer yet, as the engine does not know of it any more."""
+        self._uncommitted = []
+        unanswered = [message for message in self._accepted.by_id.values() if message.request is not None]
+        for message in unanswered:
+            with FaultBoundary("the rejection of a message"):
+                self._reject(message)
+
+    def _reject(self, message: AcceptedMessage) -> None:
+        request = message.request
+        message.request = None
+        self._accepted.remove(message.journaled.id)
+        self._journal.add(journal_codec.encode_completed(message.journaled.id))  # it may have been journaled
+        if request is not None and not request.answered:
+            reply(request, 503, "refused", close=self._is_closing() and not request.has_successor)
+
     def _acknowledge(self, message: AcceptedMessage, written: bool) -> bool:
         """Answer the client; return False if the message is not accepted after all."""
         request = message.request
--- a/linnetstile/platform_relay/log_events.py
+++ b/linnetstile/platform_relay/log_events.py
@@ -11,6 +11,7 @@
 STATS: Final = "stats"
 FAULT: Final = "fault"
 ENGINE_MESSAGE: Final = "engine"
+ENGINE_RESTARTED: Final = "engine_restarted"
 
 # Discovery and its lists.
 DISCOVERY_SILENT: Final = "discovery_silent"
--- a/linnetstile/platform_relay/recovery.py
+++ b/linnetstile/platform_relay/recovery.py
@@ -67,7 +67,12 @@
     def _restore_message(self, journaled: JournaledMessage, unix_ms: float) -> None:
         message = AcceptedMessage(journaled)
         self._accepted.add(message)
-        # An attempt that was in flight when the process ended may have taken effect.
+        self.resume(message, unix_ms)
+
+    def resume(self, message: AcceptedMessage, unix_ms: float) -> None:
+        """Pass a message without a call in flight to an engine that does not know it."""
+        journaled = message.journaled
+        # An attempt whose end is not known, because the process or a turn of the engine failed, may have taken effect.
         unclear = journaled.unclear_attempt or journaled.open_attempt
         journaled.unclear_attempt = unclear
         journaled.open_attempt = None
--- a/linnetstile/platform_relay/relay.py
+++ b/linnetstile/platform_relay/relay.py
@@ -18,7 +18,7 @@
 from ..engine.unknown_class import unknown_class
 from ..net import client
 from ..net.engine_loop import EngineLoop
-from . import log_events
+from . import clock, log_events
 from .accepted import AcceptedMessages
 from .config import Address, RelaySettings
 from .delivery import Delivery
@@ -34,6 +34,7 @@
 from .recovery import Recovery, wait_for_first_list
 from .results import ResultReporter
 from .shutdown import GracefulShutdown
+from .turn_recovery import TurnRecovery
 
 BYTES_PER_MB = 1e6
 
@@ -61,6 +62,7 @@
         delivery: Makes attempts.
         recovery: Resumes the messages and notices of an earlier process.
         shutdown: Runs the phases of the graceful shutdown.
+        turn_recovery: Restores the state of the engine after a turn that raised an exception.
     """
 
     def __init__(self, settings: RelaySettings, log: EventLog) -> None:
@@ -76,7 +78,9 @@
         # The engine.
         classes = (*engine_settings.classes, unknown_class(engine_settings.classes))
         self.engine = DeliveryEngine(replace(engine_settings, classes=classes), settings.seed)
-        self.engine_loop = EngineLoop(self.engine, self._run_turn)
+        self.engine_loop = EngineLoop(
+            self.engine, self._run_turn, on_turn_failed=lambda plan: self.turn_recovery.recover(plan)
+        )
 
         # Endpoints, journal and accepted messages.
         self.directory = Directory(tuple(kind.name for kind in engine_settings.kinds), settings.zones)
@@ -97,9 +101,10 @@
         self.reporter = self._make_reporter()
         self.delivery = self._make_delivery()
 
-        # Recovery at the start of the process, shutdown at its end.
+        # Recovery at the start of the process and after a failed turn of the engine, shutdown at the end.
         self.recovery = self._make_recovery()
         self.shutdown = GracefulShutdown(frontend=self.frontend, post_event=self.engine_loop.post)
+        self.turn_recovery = self._make_turn_recovery()
 
     def _make_intake(self) -> Intake:
         return Intake(
@@ -139,6 +144,7 @@
             endpoint_client=self.endpoint_client,
             engine_loop=self.engine_loop,
             counts=self.counts,
+            on_handed_over_ended=lambda message: self.recovery.resume(message, clock.unix_ms()),
         )
 
     def _make_recovery(self) -> Recovery:
@@ -150,6 +156,20 @@
             post_event=self.engine_loop.post,
         )
 
+    def _make_turn_recovery(self) -> TurnRecovery:
+        return TurnRecovery(
+            accepted=self.accepted,
+            intake=self.intake,
+            delivery=self.delivery,
+            reporter=self.reporter,
+            recovery=self.recovery,
+            directory=self.directory,
+            shutdown=self.shutdown,
+            post_event=self.engine_loop.post,
+            counts=self.counts,
+            log=self.log,
+        )
+
     # -- life cycle ------------------------------------------------------------------------------------------
 
     async def start(self) -> None:
--- a/linnetstile/platform_relay/shutdown.py
+++ b/linnetstile/platform_relay/shutdown.py
@@ -35,9 +35,14 @@
             signalled_at: Loop time (s) of the signal: the platform kills the process a fixed time after it.
         """
         self.started_at = signalled_at
-        self._post_event(ShutdownStarted(max(0.0, EXIT_MS - self._elapsed_ms())))
+        self.repeat_event()
         self._advance()
 
+    def repeat_event(self) -> None:
+        """Tell the engine of the shutdown, if it has started; also for an engine that was restarted since."""
+        if self.started_at is not None:
+            self._post_event(ShutdownStarted(max(0.0, EXIT_MS - self._elapsed_ms())))
+
     def _elapsed_ms(self) -> float:
         assert self.started_at is not None
         return (self._loop.time() - self.started_at) * 1000
--- a/linnetstile/telemetry/log_events.py
+++ b/linnetstile/telemetry/log_events.py
@@ -23,6 +23,7 @@
 RECEIPT_IGNORED: Final = "receipt_ignored"
 RECEIPT_DELIVERY_FAILED: Final = "receipt_delivery_failed"
 ENGINE_MESSAGE: Final = "engine"
+ENGINE_RESTARTED: Final = "engine_restarted"
 
 # Flow control.
 ADMISSION_QUEUED: Final = "admission_queued"
--- a/tests/net/test_engine_loop.py
+++ b/tests/net/test_engine_loop.py
@@ -33,7 +33,9 @@
 
     async def scenario() -> None:
         engine_loop = EngineLoop(
-            DeliveryEngine(make_settings(), 1), lambda events, actions: handled_events.extend(events)
+            DeliveryEngine(make_settings(), 1),
+            lambda events, actions: handled_events.extend(events),
+            on_turn_failed=lambda plan: None,
         )
         engine_loop.post(posted)
         clock[0] += 20.0
