Connections that only linger after their last response make room for new ones

Cause: ConnectionRegistry evicted no connection in the phase CLOSING, which lasts up to 2 s after an early response. Change: a lingering connection whose response the kernel has taken is evicted first (engine/connection_eviction.py). Tests: a full listener of rejected clients answers new ones (failed before); the order of eviction.

--- a/linnetstile/engine/connection_eviction.py
+++ b/linnetstile/engine/connection_eviction.py
@@ -21,6 +21,7 @@
         rate: Bytes received a second since it was opened.
         state_started_at: Time since which it has been in its present state.
         connection: The connection, as an object of the caller.
+        is_lingering: Whether its last response was sent, and it only waits for the client to close.
     """
 
     host: str
@@ -29,6 +30,7 @@
     rate: float
     state_started_at: float
     connection: T
+    is_lingering: bool = False
 
 
 def connections_to_evict(
@@ -38,14 +40,15 @@
 
     Connections are compared by these criteria in turn, and are evicted first if they:
 
-    1. never had a complete request,
-    2. were not opened just now,
-    3. belong to the host with the most connections,
-    4. have the lowest receive rate,
-    5. have been in their present state for longest.
+    1. only linger after their last response,
+    2. never had a complete request,
+    3. were not opened just now,
+    4. belong to the host with the most connections,
+    5. have the lowest receive rate,
+    6. have been in their present state for longest.
 
-    So half-open and trickling connections make room for each other, rather than a client's idle keep-alive connections,
-    its upload, or a new connection that a busy relay has not read from yet.
+    So connections that linger, then half-open and trickling connections make room for others, rather than a client's
+    idle keep-alive connections, its upload, or a new connection that a busy relay has not read from yet.
 
     Args:
         connections_by_host: Number of open connections of each host.
@@ -56,9 +59,10 @@
         The chosen connections in reverse order of eviction: the last one is to be evicted first.
     """
 
-    def eviction_order(connection: IdleConnection[T]) -> tuple[bool, bool, int, float, float]:
+    def eviction_order(connection: IdleConnection[T]) -> tuple[bool, bool, bool, int, float, float]:
         open_connections = connections_by_host.get(connection.host, 0)
         return (
+            not connection.is_lingering,
             connection.had_complete_request,
             connection.just_opened,
             -open_connections,
--- a/linnetstile/net/connection_registry.py
+++ b/linnetstile/net/connection_registry.py
@@ -98,8 +98,9 @@
                 had_complete_request=connection.had_complete_request,
                 just_opened=now - connection.opened_at < NEW_CONNECTION_GRACE_S,
                 rate=connection.bytes_read / (now - connection.opened_at + 1),
-                state_started_at=connection.phase_started_at,
+                state_started_at=connection.linger_started_at or connection.phase_started_at,
                 connection=connection,
+                is_lingering=connection.is_lingering,
             )
             for connection in self.connections
             if not connection.has_outstanding_response and not connection.is_closing
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -285,10 +285,15 @@
             return connection_phase.READING_HEAD
         return connection_phase.IDLE
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the last response was sent, and the connection only waits for the peer to close."""
+        return self.linger_started_at is not None and not self.unsent_bytes
+
     @property
     def has_outstanding_response(self) -> bool:
         """Whether a request was accepted or a response is incomplete; an incomplete request does not count."""
-        return self.phase in connection_phase.RESPONSE_PHASES
+        return self.phase in connection_phase.RESPONSE_PHASES and not self.is_lingering
 
     @property
     def had_complete_request(self) -> bool:
--- a/tests/engine/test_connection_eviction.py
+++ b/tests/engine/test_connection_eviction.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from linnetstile.engine.connection_eviction import IdleConnection, connections_to_evict
 
 
@@ -41,3 +43,13 @@
     ]
     evicted = connections_to_evict(hosts, connections, 1)
     assert [connection.connection for connection in evicted] == ["silent for longer"]
+
+
+def test_connections_that_linger_after_their_last_response_are_evicted_before_all_others() -> None:
+    connections = [
+        idle("silent", "many", 0.0, 0.0),
+        replace(idle("lingers, had a request", "few", 9.0, 2.0, had_complete_request=True), is_lingering=True),
+        replace(idle("lingers", "few", 9.0, 1.0), is_lingering=True),
+    ]
+    order = [each.connection for each in connections_to_evict({"many": 90, "few": 2}, connections, 10)[::-1]]
+    assert order == ["lingers", "lingers, had a request", "silent"]
--- a/tests/net/test_server_limits.py
+++ b/tests/net/test_server_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -207,3 +208,27 @@
 
     run_with_server(scenario, expected_faults=1)
     assert [result.wire_result for result in results] == [WireResult.NO_CONNECTION]
+
+
+def test_connections_that_have_their_last_response_make_room_for_new_ones() -> None:
+    # Guards against a listener that is full of peers that were rejected and stay.
+    async def scenario(server: Server, port: int) -> None:
+        rejected = [await asyncio.open_connection("127.0.0.1", port) for _ in range(4)]
+        for _, writer in rejected:
+            writer.write(HALF_REQUEST)
+        await wait_until(lambda: sum(each.finished for each in server.connections) == len(rejected))
+        for number in range(8):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % number)
+            assert (await asyncio.wait_for(reader.readline(), 3.0)).startswith(b"HTTP/1.1 200")
+            writer.close()
+            await wait_until(lambda: all(each.finished for each in server.connections))
+        for reader, writer in rejected:
+            assert (await asyncio.wait_for(reader.readline(), 3.0)).startswith(b"HTTP/1.1 400")
+            writer.close()
+
+    def on_head(request: RequestContext) -> None:
+        if request.head.method == "POST":
+            request.reply(400, close=True)
+
+    run_with_server(scenario, on_head, limits=dataclasses.replace(LIMITS, max_connections=4))
