The platform relay keeps to its memory limit, whatever its clients do

Reproduced at 32 MB and 1,024 descriptors, 3 x 300 clients, from 25.5 MB fresh: 53 MB (stop mid-body), 42 (pieces of 3 bytes), 35, 32; clients that never read left no connection to others. Cause: memory_mb was checked and used by nothing; bounds were per connection or by disk; each small piece of a body took 40 bytes more; OpenSSL (5 MB) was loaded for nothing; ru_maxrss in the log is inherited from the starter.

--- a/linnetstile/codec/http1/parser.py
+++ b/linnetstile/codec/http1/parser.py
@@ -100,6 +100,10 @@
             return bytes(self._input.data[:STATUS_LINE_PREFIX_BYTES])
         return b""
 
+    def drop_input(self) -> None:
+        """Drop the buffered bytes: no further message will be read from this stream."""
+        self._input.data.clear()
+
     def feed(self, data: bytes | memoryview, max_events: int = UNLIMITED_EVENTS) -> list[Event]:
         """Return the events that these bytes complete.
 
--- a/linnetstile/engine/resource_limits.py
+++ b/linnetstile/engine/resource_limits.py
@@ -49,6 +49,28 @@
 IDLE_DESCRIPTOR_DIVISOR = 4
 MESSAGE_DISK_DIVISOR = 4
 COMPACTION_DISK_DIVISOR = 2
+# Division of the memory that is left beside the process itself, the files of the journal and a copy of it that is being
+# written. The rest, 3/16, is for lists, for routes in use and for what the allocator can't return.
+CLIENT_MEMORY_DIVISOR = 4  # connections of clients, without what they have sent
+INPUT_MEMORY_DIVISOR = 8  # what clients have sent of requests that are incomplete or wait
+ENDPOINT_MEMORY_DIVISOR = 8  # connections to endpoints
+MESSAGE_MEMORY_DIVISOR = 4  # accepted messages, and notices that are not confirmed
+ENDED_ID_MEMORY_DIVISOR = 16  # identifiers of ended messages
+
+# Memory of one of each, in bytes, rounded up (docs/CAPACITY.md).
+CLIENT_CONNECTION_BYTES = 4096
+ENDPOINT_CONNECTION_BYTES = 5120
+MESSAGE_BYTES = 2816  # without its body
+NOTICE_BYTES = 1024
+ENDED_ID_BYTES = 320  # with the longest identifier that is accepted
+
+# Least parts, which a relay needs to serve at all; with less memory than they take, it exceeds its limit.
+MIN_INPUT_BYTES = 256 * 1024
+MIN_MESSAGE_MEMORY_BYTES = 256 * 1024
+MIN_ENDED_IDS = 256
+MAX_UNSENT_BYTES = 4096  # of responses that a client does not read; more requests of it are not answered
+MIN_RESPONSE_RATE = 16 * 1024  # bytes a second at which a client reads responses
+RESPONSE_STALL_S = 0.5  # stall that this rate allows, as clients read at full speed
 MAX_BACKOFF_DOUBLINGS = 16  # bounds the exponent; every backoff reaches its maximum earlier
 
 
@@ -90,35 +112,59 @@
         max_idle_connections: Idle connections to endpoints that are kept.
         max_message_bytes: Bytes of pending messages in the journal; more are rejected.
         compaction_bytes: Size of the journal at which it is compacted.
+        max_input_bytes: Bytes that clients have sent of incomplete and waiting requests.
+        max_message_memory_bytes: Memory of pending messages and notices; more messages are rejected.
+        max_ended_ids: Identifiers of ended messages that are kept.
     """
 
     max_client_connections: int
     max_idle_connections: int
     max_message_bytes: int
     compaction_bytes: int
+    max_input_bytes: int
+    max_message_memory_bytes: int
+    max_ended_ids: int
 
 
-def resource_limits(sockets: int, disk_bytes: float, slots: int) -> ResourceLimits:
-    """Divide the descriptors and the disk.
+def resource_limits(
+    sockets: int, disk_bytes: float, slots: int, memory_bytes: float, resident_bytes: float
+) -> ResourceLimits:
+    """Divide the descriptors, the disk and the memory.
 
     Apart from the minimums, clients' connections get at most a quarter of the descriptors, and so do idle connections
     to endpoints. The platform lets clients use a third of the descriptors for requests, idle keep-alive connections
     included: if a relay kept more of these open, clients could not open connections to submit messages. The journal and
-    its compacted version fit on the disk together.
+    its compacted version fit on the disk together. Files count as memory.
 
     Args:
         sockets: Descriptors that the relay may open.
         disk_bytes: Bytes that the relay may use on disk.
         slots: In-flight slots.
+        memory_bytes: Memory that the relay may use.
+        resident_bytes: Memory that the process takes before it serves anybody.
     """
+    journal_copy_bytes = disk_bytes / COMPACTION_DISK_DIVISOR
+    memory_left = max(0, int(memory_bytes - resident_bytes - disk_bytes - journal_copy_bytes))
     descriptors_left = sockets - IDLE_CONNECTIONS_PER_SLOT * slots - RESERVED_DESCRIPTORS
-    client_connections = min(sockets // CLIENT_DESCRIPTOR_DIVISOR, descriptors_left)
-    idle_connections = min(IDLE_CONNECTIONS_PER_SLOT * slots, sockets // IDLE_DESCRIPTOR_DIVISOR)
+    client_connections = min(
+        sockets // CLIENT_DESCRIPTOR_DIVISOR,
+        descriptors_left,
+        memory_left // CLIENT_MEMORY_DIVISOR // CLIENT_CONNECTION_BYTES,
+    )
+    idle_connections = min(
+        IDLE_CONNECTIONS_PER_SLOT * slots,
+        sockets // IDLE_DESCRIPTOR_DIVISOR,
+        memory_left // ENDPOINT_MEMORY_DIVISOR // ENDPOINT_CONNECTION_BYTES - slots,
+    )
+    ended_ids = memory_left // ENDED_ID_MEMORY_DIVISOR // ENDED_ID_BYTES
     return ResourceLimits(
         max_client_connections=max(MIN_CLIENT_CONNECTIONS, client_connections),
         max_idle_connections=max(slots, idle_connections),
         max_message_bytes=int(disk_bytes / MESSAGE_DISK_DIVISOR),
         compaction_bytes=int(disk_bytes / COMPACTION_DISK_DIVISOR),
+        max_input_bytes=max(MIN_INPUT_BYTES, memory_left // INPUT_MEMORY_DIVISOR),
+        max_message_memory_bytes=max(MIN_MESSAGE_MEMORY_BYTES, memory_left // MESSAGE_MEMORY_DIVISOR),
+        max_ended_ids=min(MAX_ENDED_IDS, max(MIN_ENDED_IDS, ended_ids)),
     )
 
 
--- a/linnetstile/net/client_call.py
+++ b/linnetstile/net/client_call.py
@@ -10,10 +10,10 @@
 
 from ..codec import http1
 from ..engine.attempt_outcome import WireResult
-from .tls_context import TlsContextFiles
 
 if TYPE_CHECKING:
     from .client_connection import ClientConnection
+    from .tls_context import TlsContextFiles
 
 
 class IdentifiedAddress(NamedTuple):
--- a/linnetstile/net/client_connection.py
+++ b/linnetstile/net/client_connection.py
@@ -143,7 +143,8 @@
             if isinstance(event, http1.Response):
                 self.head = event
             elif isinstance(event, http1.Data):
-                self.body_pieces.append(event.data)
+                if self.pool.keeps_bodies:
+                    self.body_pieces.append(event.data)
             elif isinstance(event, http1.EndOfMessage):
                 self._finish_response()
 
@@ -177,8 +178,11 @@
         request_incomplete = self.request_incomplete
         super().connection_lost(exc)
         self.pool.remove(self)
+        first_line_status = self.parser.first_line_status
+        self.parser.drop_input()  # the parser refers to itself: its memory would wait for the garbage collector
+        self.body_pieces.clear()
         call, self.call = self.call, None
         if call is not None:
             call.connection = None
             result = WireResult.REQUEST_INCOMPLETE if request_incomplete else WireResult.CONNECTION_LOST
-            call.finish(result, first_line_status=self.parser.first_line_status)
+            call.finish(result, first_line_status=first_line_status)
--- a/linnetstile/net/client_pool.py
+++ b/linnetstile/net/client_pool.py
@@ -70,6 +70,7 @@
         finish_at_status_line: bool = False,
         max_idle: int = UNLIMITED_IDLE,
         min_idle_s: float = MIN_IDLE_MS / 1000,
+        keeps_bodies: bool = True,
     ) -> None:
         """Start an empty pool on the running event loop.
 
@@ -84,8 +85,10 @@
                 whose status is final whatever follows.
             max_idle: Maximum number of idle connections; the oldest is closed first.
             min_idle_s: Time in seconds for which a connection is idle before it is reused.
+            keeps_bodies: Whether results have the bodies of responses; otherwise these are dropped as they are read.
         """
         self.min_idle_s = min_idle_s
+        self.keeps_bodies = keeps_bodies
         self.is_closed = False
         self._awaited_addresses: set[Address] = set()  # those of the reserved connections
         self.finish_at_status_line = finish_at_status_line
--- a/linnetstile/net/connection_phase.py
+++ b/linnetstile/net/connection_phase.py
@@ -23,5 +23,7 @@
 RESPONSE_PHASES: Final[tuple[ConnectionPhase, ...]] = (RESPONSE_PENDING, WRITING_RESPONSE, CLOSING)
 # Phases in which a request has begun, or may have begun, and is incomplete.
 INCOMPLETE_PHASES: Final[tuple[ConnectionPhase, ...]] = (READING_HEAD, READING_BODY, WAITING_FOR_CAPACITY)
+# Phases in which bytes of an incomplete request are read.
+READING_REQUEST_PHASES: Final[tuple[ConnectionPhase, ...]] = (READING_HEAD, READING_BODY)
 # Phases in which received bytes are read immediately.
 READING_PHASES: Final[tuple[ConnectionPhase, ...]] = (IDLE, READING_HEAD, READING_BODY)
--- a/linnetstile/net/connector.py
+++ b/linnetstile/net/connector.py
@@ -7,7 +7,6 @@
 from .. import errors
 from .client_call import TlsParameters
 from .client_connection import ClientConnection
-from .tls import TlsTransport
 
 
 class HandshakeError(errors.LinnetstileError, ConnectionError):
@@ -32,6 +31,8 @@
 
 
 async def _open_tls_connection(connection: ClientConnection, host: str, port: int, tls: TlsParameters) -> None:
+    from .tls import TlsTransport  # loads OpenSSL
+
     loop = asyncio.get_running_loop()
     handshake: asyncio.Future[str | None] = loop.create_future()
 
--- a/linnetstile/net/request_rejection.py
+++ b/linnetstile/net/request_rejection.py
@@ -14,6 +14,8 @@
 TOO_SLOW_STATUS = 408
 TOO_SLOW_TEXT = "too slow: nothing of this request was taken"
 SHUTDOWN_STATUS = 503
+NO_MEMORY_STATUS = 503
+NO_MEMORY_TEXT = "refused: no memory for the rest of this request"
 
 
 def reject_malformed(connection: ServerConnection, error: http1.Http1Error) -> None:
@@ -40,9 +42,11 @@
         if not connection.has_unread_input:  # otherwise its next request has arrived and is read soon
             finish(connection)
         return
-    slow_request = limit in server_limits.SLOW_REQUEST_LIMITS and not connection.input.parser.is_idle
-    if slow_request and _can_respond(connection):
+    may_respond = not connection.input.parser.is_idle and _can_respond(connection)
+    if may_respond and limit in server_limits.SLOW_REQUEST_LIMITS:
         _reject_incomplete(connection, TOO_SLOW_STATUS, TOO_SLOW_TEXT)
+    elif may_respond and limit == server_limits.MEMORY:
+        _reject_incomplete(connection, NO_MEMORY_STATUS, NO_MEMORY_TEXT)
     else:
         connection.transport.abort()
 
--- a/linnetstile/net/response_writer.py
+++ b/linnetstile/net/response_writer.py
@@ -74,7 +74,7 @@
             the peer might never read the response.
     """
     connection.finished = True
-    connection.input.clear_events()
+    connection.drop_input()
     if connection.is_closing:
         return
     transport = connection.transport
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -11,18 +11,22 @@
 import os
 import socket
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
 from ..codec import http1
 from . import connection_phase, server_limits
 from .connection_phase import ConnectionPhase
 from .connection_registry import ConnectionRegistry
 from .fault_boundary import FaultBoundary
+from .input_memory import InputMemory
 from .periodic_timers import PeriodicTimers
 from .request_context import Handler, RequestContext
 from .request_rejection import close_for_limit, reject_for_shutdown
 from .server_connection import ServerConnection
 from .server_limits import ServerLimits, violated_limit
-from .tls import TlsContextFiles, TlsTransport
+
+if TYPE_CHECKING:
+    from .tls import TlsContextFiles
 
 __all__ = ["ServerLimits", "ServerConnection", "Handler", "RequestContext", "Server"]
 
@@ -87,6 +91,7 @@
         self.registry = ConnectionRegistry(
             self.loop, self.limits.max_connections, MAX_ACCEPTS_PER_PASS, self._report_eviction
         )
+        self.input_memory = InputMemory(self.limits.max_input_bytes)
         self._server: asyncio.Server | None = None
         self._timers = PeriodicTimers()
 
@@ -124,6 +129,8 @@
         connection = ServerConnection(self)
         if self.tls is None:
             return connection
+        from .tls import TlsTransport  # loads OpenSSL
+
         connection.tls = TlsTransport(connection, self.tls.context, True, on_handshake=connection.handshake_ended)
         return connection.tls
 
@@ -145,7 +152,9 @@
     def _sweep(self) -> None:
         """Close the connections that exceed a limit."""
         now = self.loop.time()
-        self._for_each(self.connections, "a check of a connection's limits", lambda each: self._enforce(each, now))
+        self._for_each(
+            list(self.connections), "a check of a connection's limits", lambda each: self._enforce(each, now)
+        )
 
     def _enforce(self, connection: ServerConnection, now: float) -> None:
         """Close a connection if it exceeds a limit."""
@@ -162,12 +171,26 @@
         connections: Iterable[ServerConnection], work: str, function: Callable[[ServerConnection], None]
     ) -> None:
         """Call a function with each connection; one for which it raises an exception is aborted."""
-        for connection in list(connections):
+        for connection in connections:
             with FaultBoundary(work) as boundary:
                 function(connection)
             if boundary.failed:
                 connection.transport.abort()
 
+    def account_input(self, connection: ServerConnection) -> None:
+        """Account for the received bytes that a connection holds; reject incomplete requests if all hold too many."""
+        self.input_memory.update(connection)
+        if self.input_memory.is_exceeded:
+            incomplete = self._open_connections_in(connection_phase.READING_REQUEST_PHASES)
+            too_large = self.input_memory.connections_to_reject(incomplete)
+            self._for_each(too_large, "the rejection of a request", self._reject_for_memory)
+
+    def _reject_for_memory(self, connection: ServerConnection) -> None:
+        self.count(server_limits.counter_name(server_limits.MEMORY))
+        self.on_connection_evicted(connection, server_limits.MEMORY)
+        close_for_limit(connection, server_limits.MEMORY)
+        connection.drop_input()
+
     # -- shutting down -----------------------------------------------------------------------------------
 
     def close_idle(self) -> None:
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -19,10 +19,10 @@
 from .request_input import RequestInput
 from .request_rejection import reject_malformed
 from .response_writer import SMALL_BODY_BYTES, discard_input
-from .tls import TlsTransport
 
 if TYPE_CHECKING:
     from .server import Server
+    from .tls import TlsTransport
 
 # Requests that a connection starts in one pass, so that a peer that pipelines many can't delay other connections.
 REQUESTS_PER_PASS = 1
@@ -41,6 +41,7 @@
         self.skipping_body = False  # the current request was answered before its body was read
         self.waiting_for_capacity = False  # the current body is not read further until `resume_body`
         self.body = RequestBody()  # body of the current request
+        self.accounted_input_bytes = 0  # what `InputMemory` has counted of this connection
         self.request_count = 0  # number of requests begun on this connection
         self.opened_at = server.loop.time()
         self.phase_started_at = self.opened_at  # loop time (s) at which the current head or idle time began
@@ -97,6 +98,7 @@
         """Unregister the connection, and notify the owner of its request. Called by asyncio."""
         super().connection_lost(exc)
         self.server.registry.remove(self)
+        self.drop_input()  # the parser refers to itself, so that its memory would wait for the garbage collector
         self.release_incomplete()
         request, self.current_request = self.current_request, None  # they refer to each other
         was_pending = self.request_complete and request is not None
@@ -146,6 +148,13 @@
         if error and not self.input.event_count and not self.finished and not self.response_pending:
             reject_malformed(self, error)
         self._apply_back_pressure()
+        self.server.account_input(self)
+
+    def drop_input(self) -> None:
+        """Drop all received bytes: no further request is read."""
+        self.input.clear()
+        self.body.drop_pieces()
+        self.server.input_memory.update(self)
 
     @property
     def _can_process(self) -> bool:
--- a/linnetstile/net/server_limits.py
+++ b/linnetstile/net/server_limits.py
@@ -23,6 +23,7 @@
 HEAD: Final = "head"  # the head of a request takes too long
 IDLE: Final = "idle"  # there was no request for too long
 LINGER: Final = "linger"  # the peer does not close after the last response
+MEMORY: Final = "memory"  # incomplete requests of all connections hold too much memory
 # Limits that are not a fault of the peer, and are not reported as a slow peer.
 ORDERLY_LIMITS = (IDLE, LINGER)
 # Limits on an incomplete request; the peer is answered that it was too slow.
@@ -51,6 +52,7 @@
     rate_grace_s: float = 5.0  # stall that the minimum rates allow
     max_pipelined_events: int = 32  # events behind an unanswered request; 512 unparsed bytes count as one
     max_unsent_bytes: int = 256 * 1024  # bytes of responses not read by the peer, above which its input is not read
+    max_input_bytes: int = 0  # received bytes of incomplete and waiting requests, over all connections; 0 = no limit
     sweep_interval_s: float = 1.0  # how often the limits are checked
 
 
--- a/linnetstile/platform_relay/accepted.py
+++ b/linnetstile/platform_relay/accepted.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..engine.resource_limits import SubmissionIds
+from ..engine.resource_limits import JOURNAL_OVERHEAD_BYTES, MESSAGE_BYTES, SubmissionIds
 from ..net import client, server
 from .endpoint_record import EndpointAddress
 from .journal import Journal
@@ -65,15 +65,21 @@
         last_id: The id assigned most recently, by this process or an earlier one.
     """
 
-    def __init__(self, journal: Journal) -> None:
+    def __init__(self, journal: Journal, max_ended_ids: int) -> None:
         self.by_id: dict[int, AcceptedMessage] = {}
-        self.submission_ids = SubmissionIds()
+        self.submission_ids = SubmissionIds(max_ended_ids)
         self.last_id = 0
         self._journal = journal
 
     def __len__(self) -> int:
         return len(self.by_id)
 
+    @property
+    def memory_bytes(self) -> int:
+        """The memory of all messages, by the bytes of their bodies and an upper bound for the rest of each."""
+        body_bytes = self._journal.message_bytes - len(self.by_id) * JOURNAL_OVERHEAD_BYTES
+        return body_bytes + len(self.by_id) * MESSAGE_BYTES
+
     def journaled(self) -> Iterable[JournaledMessage]:
         """Return each message as the journal stores it."""
         return (message.journaled for message in self.by_id.values())
--- a/linnetstile/platform_relay/endpoint_client.py
+++ b/linnetstile/platform_relay/endpoint_client.py
@@ -91,6 +91,7 @@
             limits=http1.Limits(max_body_bytes=MAX_BODY_BYTES, max_head_bytes=MAX_HEAD_BYTES),
             finish_at_status_line=True,
             max_idle=limits.max_idle_connections,
+            keeps_bodies=False,
         )
 
     def send(
--- a/linnetstile/platform_relay/http_frontend.py
+++ b/linnetstile/platform_relay/http_frontend.py
@@ -9,7 +9,10 @@
     CLIENT_IDLE_TIMEOUT_S,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_UNSENT_BYTES,
+    MIN_RESPONSE_RATE,
     REQUEST_TIMEOUT_S,
+    RESPONSE_STALL_S,
     ResourceLimits,
 )
 from ..engine.settings import Settings
@@ -86,7 +89,10 @@
                 head_timeout_s=REQUEST_TIMEOUT_S,
                 idle_timeout_s=CLIENT_IDLE_TIMEOUT_S,
                 max_pipelined_events=MAX_PIPELINED_REQUESTS,
-                max_unsent_bytes=MAX_BODY_BYTES,
+                min_response_rate=MIN_RESPONSE_RATE,
+                rate_grace_s=RESPONSE_STALL_S,
+                max_unsent_bytes=MAX_UNSENT_BYTES,
+                max_input_bytes=limits.max_input_bytes,
                 sweep_interval_s=SWEEP_INTERVAL_S,
             ),
         )
--- a/linnetstile/platform_relay/intake.py
+++ b/linnetstile/platform_relay/intake.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from collections import Counter
 from collections.abc import Callable, Iterable
 
 from ..engine.events import ClientCancelled, Event, Message
-from ..engine.resource_limits import ResourceLimits
+from ..engine.resource_limits import MESSAGE_BYTES, ResourceLimits
 from ..engine.settings import MessageClass, Settings
 from ..net import server
 from ..net.fault_boundary import FaultBoundary
@@ -31,6 +30,8 @@
     key = ordering_key or idempotency_key
     if not message_class.in_order or not key:
         return 0
+    import hashlib  # loads OpenSSL, and only classes in order need it
+
     digest = hashlib.blake2b(key.encode(), digest_size=ORDERING_KEY_BYTES).digest()
     return int.from_bytes(digest, "big") + 1
 
@@ -53,12 +54,15 @@
         journal: Journal,
         directory: Directory,
         is_closing: Callable[[], bool],
+        held_memory_bytes: Callable[[], int],
         post_event: Callable[[Event], None],
         counts: Counter[str],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._settings = settings
         self._max_message_bytes = limits.max_message_bytes
+        self._max_memory_bytes = limits.max_message_memory_bytes
+        self._held_memory_bytes = held_memory_bytes
         self._accepted = accepted
         self._journal = journal
         self._directory = directory
@@ -72,7 +76,7 @@
         """Accept a valid submission, or reject it for a reason that the engine does not check.
 
         These are: the relay is not ready or is shutting down, the id is that of a pending message, the destination is
-        unknown, the journal is full, or the deadline has passed.
+        unknown, the journal or the memory for messages is full, or the deadline has passed.
         """
         remaining_ms = submission.remaining_ms - (self._loop.time() - request.started_at) * 1000
         if not self.is_open or self._is_closing():
@@ -87,6 +91,9 @@
         elif self._journal.message_bytes + len(request.body) > self._max_message_bytes:
             self._counts[counters.REJECTED_JOURNAL_FULL] += 1
             reply(request, 503, "refused: no room to keep it")
+        elif self._held_memory_bytes() + MESSAGE_BYTES + len(request.body) > self._max_memory_bytes:
+            self._counts[counters.REJECTED_NO_MEMORY] += 1
+            reply(request, 503, "refused: no room to keep it")
         elif remaining_ms <= 0:
             self._counts[counters.REJECTED_PAST_DEADLINE] += 1
             reply(request, 503, "refused: its time is up")
--- a/linnetstile/platform_relay/process.py
+++ b/linnetstile/platform_relay/process.py
@@ -6,7 +6,6 @@
 import gc
 import json
 import os
-import resource
 import signal
 import sys
 import time
@@ -17,7 +16,7 @@
 
 from ..errors import ConfigError
 from ..net.periodic_timers import PeriodicTimers
-from . import counters, log_events
+from . import counters, log_events, process_memory
 from .config import RelaySettings, load
 from .relay import PlatformRelay
 
@@ -25,7 +24,8 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_BAD_CONFIG = 2
 EXIT_CANNOT_START = 3
-KIB_PER_MIB = 1024
+BYTES_PER_KIB = 1024
+BYTES_PER_MIB = 1024 * 1024
 
 
 def log(event: str, **fields: object) -> None:
@@ -62,7 +62,9 @@
             cpu=round(cpu_s - self._last_cpu_s, 2),
             late_ms=round(delay_s * 1000, 1),
             **self._current_state(),
-            memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // KIB_PER_MIB,
+            memory_mb=process_memory.peak_bytes() // BYTES_PER_MIB,
+            resident_mb=process_memory.resident_bytes() // BYTES_PER_MIB,
+            **self._held_memory(),
             since=self._increases(counts),
             **self._counts_by_part(),
         )
@@ -85,6 +87,15 @@
             "journal": relay.journal.size,
         }
 
+    def _held_memory(self) -> dict[str, int]:
+        """Return what the parts that strangers can fill hold in memory, in KiB."""
+        relay = self._relay
+        return {
+            "input_kb": relay.frontend.server.input_memory.total_bytes // BYTES_PER_KIB,
+            "messages_kb": relay.held_memory_bytes() // BYTES_PER_KIB,
+            "ended_ids": len(relay.accepted.submission_ids.ended),
+        }
+
     def _increases(self, counts: dict[str, int]) -> dict[str, int]:
         """Return the increase of each counter since the last report; counters without an increase are left out."""
         last = self._last_counts
--- a/linnetstile/platform_relay/relay.py
+++ b/linnetstile/platform_relay/relay.py
@@ -14,7 +14,7 @@
 from ..engine.actions import Action, Cancel, CancelIfUnsent, CloseIdle, Fail, Log, Reject, Send
 from ..engine.engine import DeliveryEngine
 from ..engine.events import EndpointList, EndpointStatus, Event
-from ..engine.resource_limits import resource_limits
+from ..engine.resource_limits import NOTICE_BYTES, resource_limits
 from ..engine.unknown_class import unknown_class
 from ..net import client
 from ..net.engine_loop import EngineLoop
@@ -31,6 +31,7 @@
 from .list_update import InvalidListError
 from .log_events import EventLog
 from .notices import NoticeSender
+from .process_memory import resident_bytes
 from .recovery import Recovery, wait_for_first_list
 from .results import ResultReporter
 from .shutdown import GracefulShutdown
@@ -72,7 +73,11 @@
         self.counts: Counter[str] = Counter()
         engine_settings = settings.engine_settings
         self.limits = resource_limits(
-            settings.limits.sockets, settings.limits.disk_mb * BYTES_PER_MB, engine_settings.max_in_flight
+            settings.limits.sockets,
+            settings.limits.disk_mb * BYTES_PER_MB,
+            engine_settings.max_in_flight,
+            settings.limits.memory_mb * BYTES_PER_MB,
+            resident_bytes(),
         )
 
         # The engine.
@@ -85,7 +90,7 @@
         # Endpoints, journal and accepted messages.
         self.directory = Directory(tuple(kind.name for kind in engine_settings.kinds), settings.zones)
         self.journal = Journal(settings.state, self.limits.compaction_bytes)
-        self.accepted = AcceptedMessages(self.journal)
+        self.accepted = AcceptedMessages(self.journal, self.limits.max_ended_ids)
 
         # Connections to discovery, the platform and endpoints. All backoffs share one random number generator.
         rng = random.Random(settings.seed)
@@ -114,6 +119,7 @@
             journal=self.journal,
             directory=self.directory,
             is_closing=lambda: self.frontend.is_closing,
+            held_memory_bytes=self.held_memory_bytes,
             post_event=self.engine_loop.post,
             counts=self.counts,
         )
@@ -203,6 +209,10 @@
         # The parsed JSON takes ten times the memory of the directory, so the reference to it is dropped.
         self.settings = replace(self.settings, known_list={})
 
+    def held_memory_bytes(self) -> int:
+        """Return the memory of all accepted messages and of all notices that are not confirmed."""
+        return self.accepted.memory_bytes + len(self.reporter.pending_notices) * NOTICE_BYTES
+
     def move_discovery(self, discovery: Address) -> None:
         """Use discovery at another address from now on."""
         self.log(log_events.DISCOVERY_MOVED, to=client.format_address(discovery))
--- a/tests/net/test_server_limits.py
+++ b/tests/net/test_server_limits.py
@@ -267,3 +267,35 @@
         run_with_server(scenario)
     finally:
         gc.enable()
+
+
+async def is_rejected(reader: asyncio.StreamReader) -> bool:
+    """Return whether a client is answered 503 a short time from now."""
+    try:
+        return (await asyncio.wait_for(reader.readline(), 0.2)).startswith(b"HTTP/1.1 503")
+    except TimeoutError:
+        return False
+
+
+def test_request_that_holds_the_most_is_rejected_when_all_together_hold_too_much() -> None:
+    # Guards against a process that passes its memory limit by incomplete requests.
+    async def scenario(server: Server, port: int) -> None:
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n"
+        small_reader, small_writer = await asyncio.open_connection("127.0.0.1", port)
+        small_writer.write(head + b"x" * 100)
+        await wait_until(lambda: server.input_memory.total_bytes == 100)
+        large = [await asyncio.open_connection("127.0.0.1", port) for _ in range(6)]
+        for _, writer in large:
+            writer.write(head + b"x" * 40_000)
+        await wait_until(lambda: server.counts.get("let_go_memory", 0) >= 4)
+        assert server.input_memory.total_bytes <= 100_000
+        rejected = [(reader, writer) for reader, writer in large if await is_rejected(reader)]
+        assert len(rejected) == server.counts["let_go_memory"]
+        small_writer.write(b"x" * 59_900)
+        assert (await asyncio.wait_for(small_reader.readline(), 3.0)).split()[1] == b"200"
+        for _, writer in [*large, (small_reader, small_writer)]:
+            writer.close()
+        await wait_until(lambda: not server.connections)
+        assert server.input_memory.total_bytes == 0
+
+    run_with_server(scenario, limits=dataclasses.replace(LIMITS, max_input_bytes=100_000))
--- a/tests/platform_relay/test_journal.py
+++ b/tests/platform_relay/test_journal.py
@@ -148,7 +148,7 @@
 
 def test_folder_never_exceeds_the_disk_limit(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     disk_bytes = 100_000
-    limits = resource_limits(1024, disk_bytes, 8)
+    limits = resource_limits(1024, disk_bytes, 8, 192e6, 24e6)
     journal = Journal(tmp_path, limits.compaction_bytes)
     journal.open()
     disk_uses: list[int] = []
--- /dev/null
+++ b/tests/platform_relay/test_memory.py
@@ -0,0 +1,208 @@
+"""The memory of a relay's process stays within the limit of its settings, whatever its clients do."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from .http_messages import READY_REQUEST, Connection, submission
+from .relay_testbed import RelayTestbed, run_scenario, wait_until
+
+# The least memory and the most descriptors that the platform's pages name for a relay.
+MEMORY_MB = 32
+SOCKETS = 1024
+CLIENTS = 300
+BYTES_PER_KIB = 1024
+BYTES_PER_MB = 1e6
+
+
+@dataclass
+class RelayProcess:
+    """A relay in a process of its own."""
+
+    process: asyncio.subprocess.Process
+    port: int
+    state_folder: Path
+
+    def peak_bytes(self) -> int:
+        """Return the highest resident memory so far, with the files that the relay keeps."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        files = sum(path.stat().st_size for path in self.state_folder.iterdir())
+        return int(fields["VmHWM"].split()[0]) * BYTES_PER_KIB + files
+
+    async def connect(self) -> Connection:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def status_of(self, request: bytes) -> int:
+        """Return the status of the response to a request on a new connection; 0 if it was closed without one."""
+        reader, writer = await self.connect()
+        try:
+            writer.write(request)
+            async with asyncio.timeout(5.0):
+                line = await reader.readline()
+        except ConnectionError:
+            return 0
+        finally:
+            writer.close()
+        return int(line.split()[1]) if line else 0
+
+
+def free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
+
+
+@contextlib.asynccontextmanager
+async def relay_process(testbed: RelayTestbed, folder: Path) -> AsyncIterator[RelayProcess]:
+    """Start a relay with the least memory, at the testbed's discovery, and wait until it is ready."""
+    host, discovery_port = await testbed.start_discovery()
+    port = free_port()
+    settings = {**testbed.settings, "limits": {**testbed.settings["limits"], "open-cap": 100_000}}
+    config = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"{host}:{discovery_port}",
+        "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB, "disk_mb": 3},
+        "settings": settings,
+    }
+    path = folder / "config.json"
+    path.write_text(json.dumps(config))
+    state_folder = folder / "state"
+    environment = {**os.environ, "GW_CONFIG": str(path), "GW_STATE": str(state_folder)}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "linnetstile.platform_relay", env=environment, stderr=asyncio.subprocess.DEVNULL
+    )
+    relay = RelayProcess(process, port, state_folder)
+    try:
+        async with asyncio.timeout(20.0):
+            while True:
+                with contextlib.suppress(OSError):
+                    if await relay.status_of(READY_REQUEST) == 200:
+                        break
+                await asyncio.sleep(0.05)
+        yield relay
+    finally:
+        process.kill()
+        await process.wait()
+
+
+async def stop_in_the_middle_of_a_body(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
+    writer.write(submission(f"half{number}", body=b"x" * 60_000, Content_Length="65536"))
+    await writer.drain()
+
+
+async def write_a_body_slowly(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
+    writer.write(submission(f"slow{number}", body=b"", Content_Length="65536"))
+    for _ in range(250):
+        writer.write(b"xyz")
+        await asyncio.sleep(0)
+
+
+async def send_a_head_of_short_fields(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
+    writer.write(b"POST /api HTTP/1.1\r\n" + b"a:b\r\n" * 3200)
+    await writer.drain()
+
+
+async def send_a_complete_head_of_short_fields(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
+    writer.write(b"POST /api HTTP/1.1\r\nHost: x\r\n" + b"a:b\r\n" * 3200 + b"\r\n")
+    await writer.drain()
+
+
+async def send_many_heads_of_short_fields(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
+    fields = b"".join(b"f%d-%d:b\r\n" % (number, field) for field in range(58))
+    body = b"x" * 30_000
+    head = b"Content-Length: 65536\r\n" + fields
+    writer.write(
+        submission(f"short{number}", body=body, Content_Length="").replace(b"\r\n\r\n", b"\r\n" + head + b"\r\n", 1)
+    )
+    await writer.drain()
+
+
+async def ask_and_never_read(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    writer.write(READY_REQUEST * 300)
+    await asyncio.sleep(0)
+
+
+Attack = Callable[[RelayProcess, asyncio.StreamWriter, int], Awaitable[None]]
+ATTACKS: dict[str, Attack] = {
+    attack.__name__: attack
+    for attack in (
+        stop_in_the_middle_of_a_body,
+        write_a_body_slowly,
+        send_a_head_of_short_fields,
+        send_a_complete_head_of_short_fields,
+        send_many_heads_of_short_fields,
+        ask_and_never_read,
+    )
+}
+
+
+async def attack_at_once(relay: RelayProcess, attack: Attack, writers: list[asyncio.StreamWriter]) -> None:
+    """Let many clients connect and then do the same at once; their connections stay open, and join `writers`."""
+    new = [(await relay.connect())[1] for _ in range(CLIENTS)]
+    writers += new
+
+    async def run(number: int, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            await attack(relay, writer, number)
+
+    await asyncio.gather(*(run(number, writer) for number, writer in enumerate(new)))
+
+
+@pytest.mark.parametrize("name", ATTACKS)
+def test_memory_stays_within_the_limit_while_hundreds_of_clients_misbehave(tmp_path: Path, name: str) -> None:
+    # Guards against a process that is killed for its memory: nothing went by the limit of the settings.
+    async def scenario(testbed: RelayTestbed) -> None:
+        async with relay_process(testbed, tmp_path) as relay:
+            writers: list[asyncio.StreamWriter] = []
+            try:
+                for number in range(3):
+                    await attack_at_once(relay, ATTACKS[name], writers)
+                    assert await relay.status_of(submission(f"usual{number}")) == 202
+                await asyncio.sleep(0.5)
+                assert relay.peak_bytes() <= MEMORY_MB * BYTES_PER_MB
+            finally:
+                for writer in writers:
+                    writer.transport.abort()
+                await asyncio.sleep(0.05)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_messages_that_wait_stay_within_the_memory_and_those_that_were_accepted_all_end(tmp_path: Path) -> None:
+    # Guards against messages that are accepted until the disk is full, however little memory there is.
+    async def scenario(testbed: RelayTestbed) -> None:
+        await testbed.add_endpoint(7, "DRAINING")  # a known destination to which nothing may be sent
+        async with relay_process(testbed, tmp_path) as relay:
+            reader, writer = await relay.connect()
+            accepted: list[str] = []
+            for number in range(3000):
+                submission_id = f"{number:0128}"
+                writer.write(submission(submission_id, destination=7, time_left="20000m"))
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+                if b" 202 " not in head:
+                    assert b" 503 " in head
+                    break
+                accepted.append(submission_id)
+            writer.close()
+            assert 200 < len(accepted) < 3000
+            assert await relay.status_of(READY_REQUEST) == 200
+            testbed.send_list([{**testbed.entries[1], "state": "SERVING"}])
+            await wait_until(lambda: len(testbed.endpoint_calls) + len(testbed.notices) >= len(accepted), 30.0)
+            ended = {call.submission_id for call in testbed.endpoint_calls} | {each["ref"] for each in testbed.notices}
+            assert ended == set(accepted)
+            assert relay.peak_bytes() <= MEMORY_MB * BYTES_PER_MB
+
+    run_scenario(tmp_path, scenario)
