One client with very many small chunks no longer delays the answers of others

Cause: ServerConnection._process_events bounded requests in a pass, not events: 2,721 chunks of one read (40 ms) were handled at once; bytes that came while a step was scheduled gave a second turn. Ruled out, each played on a core and on an eighth: twelve other forms (health checks, names that change, garbage, many fields, ...), p99 225 ms at most, memory under 22 MB. Change: 64 events and one turn a pass; answers of endpoints are read 2 KiB at a time; the engine sheds load before the memory for messages is full. Tests: events in a pass (2,721 before), endpoints' answers.

--- a/linnetstile/engine/resource_limits.py
+++ b/linnetstile/engine/resource_limits.py
@@ -61,6 +61,7 @@
 CLIENT_CONNECTION_BYTES = 4096
 ENDPOINT_CONNECTION_BYTES = 5120
 MESSAGE_BYTES = 2816  # without its body
+BODY_MEMORY_DIVISOR = 4  # part of the memory for messages that is left to bodies, as a divisor
 NOTICE_BYTES = 1024
 ENDED_ID_BYTES = 320  # with the longest identifier that is accepted
 
@@ -114,6 +115,7 @@
         compaction_bytes: Size of the journal at which it is compacted.
         max_input_bytes: Bytes that clients have sent of incomplete and waiting requests.
         max_message_memory_bytes: Memory of pending messages and notices; more messages are rejected.
+        max_messages: Pending messages above which the engine sheds load.
         max_ended_ids: Identifiers of ended messages that are kept.
     """
 
@@ -123,6 +125,7 @@
     compaction_bytes: int
     max_input_bytes: int
     max_message_memory_bytes: int
+    max_messages: int
     max_ended_ids: int
 
 
@@ -156,6 +159,7 @@
         sockets // IDLE_DESCRIPTOR_DIVISOR,
         memory_left // ENDPOINT_MEMORY_DIVISOR // ENDPOINT_CONNECTION_BYTES - slots,
     )
+    message_bytes = max(MIN_MESSAGE_MEMORY_BYTES, memory_left // MESSAGE_MEMORY_DIVISOR)
     ended_ids = memory_left // ENDED_ID_MEMORY_DIVISOR // ENDED_ID_BYTES
     return ResourceLimits(
         max_client_connections=max(MIN_CLIENT_CONNECTIONS, client_connections),
@@ -163,7 +167,8 @@
         max_message_bytes=int(disk_bytes / MESSAGE_DISK_DIVISOR),
         compaction_bytes=int(disk_bytes / COMPACTION_DISK_DIVISOR),
         max_input_bytes=max(MIN_INPUT_BYTES, memory_left // INPUT_MEMORY_DIVISOR),
-        max_message_memory_bytes=max(MIN_MESSAGE_MEMORY_BYTES, memory_left // MESSAGE_MEMORY_DIVISOR),
+        max_message_memory_bytes=message_bytes,
+        max_messages=(message_bytes - message_bytes // BODY_MEMORY_DIVISOR) // MESSAGE_BYTES,
         max_ended_ids=min(MAX_ENDED_IDS, max(MIN_ENDED_IDS, ended_ids)),
     )
 
--- a/linnetstile/net/client_connection.py
+++ b/linnetstile/net/client_connection.py
@@ -10,6 +10,7 @@
 from ..engine.attempt_outcome import WireResult
 from .client_call import Address, Call, RequestBytes
 from .connection import BufferedConnection
+from .receive_buffer import HEAD_BUFFER
 
 if TYPE_CHECKING:
     from .client_pool import ConnectionPool
@@ -38,6 +39,10 @@
         super().connection_made(transport)
         self.pool.connections.add(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the next bytes are read into. Called by asyncio."""
+        return super().get_buffer(sizehint) if self.pool.keeps_bodies else HEAD_BUFFER
+
     @property
     def request_incomplete(self) -> bool:
         """Whether some bytes of the request have not been sent.
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -26,6 +26,8 @@
 
 # Requests that a connection starts in one pass, so that a peer that pipelines many can't delay other connections.
 REQUESTS_PER_PASS = 1
+# Events that a connection handles in one pass, so that neither can a body in very many small chunks.
+EVENTS_PER_PASS = 64
 NO_RESPONSE_STATUS = 0  # status of an error that can't be reported in a response
 BODY_STEP_BYTES = 64 * 1024  # capacity requested at once for a body of unknown length
 
@@ -124,7 +126,11 @@
             discard_input(self, len(data))
             return
         self.input.feed(data)
-        self._process_events()
+        if self.processing_scheduled:  # handled there: a connection has its turn once a pass
+            self._apply_back_pressure()
+            self.server.account_input(self)
+        else:
+            self._process_events()
 
     def _process_events(self) -> None:
         """Handle received events until the current request has to wait."""
@@ -132,7 +138,13 @@
         if self.is_lost:  # scheduled before the connection ended; capacity granted now would never be released
             return
         requests_begun = 0
+        events_handled = 0
         while self._can_process and (event := self.input.take_event()):
+            if events_handled >= EVENTS_PER_PASS:
+                self.input.put_back(event)
+                self.schedule_processing()
+                break
+            events_handled += 1
             if isinstance(event, http1.Data):
                 self._add_body_data(event.data)
             elif isinstance(event, http1.EndOfMessage):
--- a/linnetstile/platform_relay/relay.py
+++ b/linnetstile/platform_relay/relay.py
@@ -82,7 +82,11 @@
 
         # The engine.
         classes = (*engine_settings.classes, unknown_class(engine_settings.classes))
-        self.engine = DeliveryEngine(replace(engine_settings, classes=classes), settings.seed)
+        # The engine sheds load by value and quota, before there is no memory left for any message.
+        max_pending = min(engine_settings.max_pending_messages, self.limits.max_messages)
+        self.engine = DeliveryEngine(
+            replace(engine_settings, classes=classes, max_pending_messages=max_pending), settings.seed
+        )
         self.engine_loop = EngineLoop(
             self.engine, self._run_turn, on_turn_failed=lambda plan: self.turn_recovery.recover(plan)
         )
--- a/tests/net/test_server_limits.py
+++ b/tests/net/test_server_limits.py
@@ -7,6 +7,7 @@
 import dataclasses
 import gc
 import weakref
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -15,7 +16,7 @@
 from linnetstile.net import client, client_pool, server_limits
 from linnetstile.net.periodic_timers import PeriodicTimers
 from linnetstile.net.server import RequestContext, Server, ServerLimits
-from linnetstile.net.server_connection import ServerConnection
+from linnetstile.net.server_connection import EVENTS_PER_PASS, ServerConnection
 from linnetstile.net.server_limits import LINGER_TIMEOUT_S
 
 HALF_REQUEST = b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhello"
@@ -299,3 +300,39 @@
         assert server.input_memory.total_bytes == 0
 
     run_with_server(scenario, limits=dataclasses.replace(LIMITS, max_input_bytes=100_000))
+
+
+def test_body_in_very_many_small_chunks_is_read_a_few_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against one client whose small chunks delay all others: all that had been read were handled in one pass.
+    chunks = 5000
+    add_body_data = ServerConnection._add_body_data
+    handled_by_pass: Counter[int] = Counter()
+    bodies: list[bytes] = []
+
+    def handler(request: RequestContext) -> None:
+        bodies.append(request.body)
+        request.reply(200)
+
+    async def scenario(server: Server, port: int) -> None:
+        current_pass = 0
+
+        def count_pass() -> None:
+            nonlocal current_pass
+            current_pass += 1
+            server.loop.call_soon(count_pass)
+
+        def add_and_count(self: ServerConnection, data: bytes) -> None:
+            handled_by_pass[current_pass] += 1
+            add_body_data(self, data)
+
+        monkeypatch.setattr(ServerConnection, "_add_body_data", add_and_count)
+        server.loop.call_soon(count_pass)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"1\r\na\r\n" * chunks + b"0\r\n\r\n")
+        assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    run_with_server(scenario, handler=handler)
+    assert bodies == [b"a" * chunks]
+    assert max(handled_by_pass.values()) <= EVENTS_PER_PASS
--- a/tests/platform_relay/test_memory.py
+++ b/tests/platform_relay/test_memory.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from .http_messages import READY_REQUEST, Connection, submission
+from .http_messages import READY_REQUEST, Connection, request_status, submission
 from .relay_testbed import RelayTestbed, run_scenario, wait_until
 
 # The least memory and the most descriptors that the platform's pages name for a relay.
@@ -206,3 +206,17 @@
             assert relay.peak_bytes() <= MEMORY_MB * BYTES_PER_MB
 
     run_scenario(tmp_path, scenario)
+
+
+def test_body_of_an_endpoints_answer_is_neither_kept_nor_read_in_large_pieces(tmp_path: Path) -> None:
+    async def scenario(testbed: RelayTestbed) -> None:
+        relay = await testbed.start_relay()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        testbed.scripted_responses[1] = [head + b"1\r\na\r\n" * 5000]  # never ends
+        assert await request_status(relay, submission("m")) == 202
+        await wait_until(lambda: not relay.accepted)
+        connections = list(relay.endpoint_client.pool.connections)
+        assert not any(connection.body_pieces for connection in connections)
+        assert all(len(connection.get_buffer(-1)) <= 2048 for connection in connections)
+
+    run_scenario(tmp_path, scenario)
