Requests of a client that has left are not forwarded

Reproduced: of 20 requests sent ahead by a client that closes in order two are forwarded; a once message is forwarded although its client was reset before the 202. Cause: response_writer.write_response returned True without a look at the connection after the write; ServerConnection went on with requests read ahead although the kernel knew of the close. Ruled out: a reset (its failed write ends the connection after the first). Change: a response counts as heard only if the connection is open after its write; before the next request read ahead the kernel is asked for the peer's close (POLLRDHUP). Tests: two in test_client_connections.py failed before (one case held).

--- a/linnetstile/net/connection.py
+++ b/linnetstile/net/connection.py
@@ -14,6 +14,7 @@
 
 # Maximum size of a write to the transport, which copies the bytes that the kernel does not accept.
 WRITE_SLICE_BYTES = 128 * 1024
+CLOSE_EVENTS = getattr(select, "POLLRDHUP", 0)  # Linux; elsewhere `poll` reports only errors and full closes
 
 
 class Transport(Protocol):
@@ -180,12 +181,21 @@
 
         Closing a connection that has unread bytes resets it, and bytes written before may be lost.
         """
+        return self._has_event(select.POLLIN)
+
+    @property
+    def has_peer_closed(self) -> bool:
+        """Whether the peer has closed the connection or its sending half, also if bytes before that are unread."""
+        return self._has_event(CLOSE_EVENTS)
+
+    def _has_event(self, events: int) -> bool:
+        """Return whether one of these events of `poll`, or an error, is pending in the kernel."""
         transport_socket = self.transport.get_extra_info("socket")
         descriptor = transport_socket.fileno() if isinstance(transport_socket, (socket.socket, TransportSocket)) else -1
         if descriptor < 0:
             return False
         poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
+        poll.register(descriptor, events)
         return bool(poll.poll(0))
 
     def peer_address(self) -> str:
--- a/linnetstile/net/response_writer.py
+++ b/linnetstile/net/response_writer.py
@@ -26,7 +26,11 @@
     body: bytes,
     close: bool,
 ) -> bool:
-    """Write the response to the current request of a connection; return False if the client has disconnected."""
+    """Write the response to the current request of a connection.
+
+    Returns:
+        False if the client has disconnected, also if that shows only as the response is written.
+    """
     if connection.is_closing:
         return False
     early = not connection.request_complete
@@ -36,6 +40,7 @@
         close = close or not _can_skip_body(request)
     fields = [*headers, ("Connection", "close")] if close else headers
     connection.write(*http1.encode_response_parts(status, fields, body, request.head.method == "HEAD"))
+    was_written = not connection.is_closing
     if early:
         connection.skipping_body = True
         connection.body.drop_pieces()
@@ -46,7 +51,7 @@
         finish(connection, linger=early)
     elif connection.reading_paused or not connection.input.is_exhausted:
         connection.schedule_processing()
-    return True
+    return was_written
 
 
 def _can_skip_body(request: RequestContext) -> bool:
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -135,7 +135,7 @@
     def _process_events(self) -> None:
         """Handle received events until the current request has to wait."""
         self.processing_scheduled = False
-        if self.is_lost:  # scheduled before the connection ended; capacity granted now would never be released
+        if self.is_closing:  # scheduled before the connection ended; capacity granted now would never be released
             return
         requests_begun = 0
         events_handled = 0
@@ -190,11 +190,19 @@
 
         The event loop does the same for an exception in `received`.
         """
+        if self._has_left_requests_behind:
+            self.transport.abort()
         with FaultBoundary("a request") as boundary:
             self._process_events()
         if boundary.failed:
             self.transport.abort()
 
+    @property
+    def _has_left_requests_behind(self) -> bool:
+        """Whether the next request was sent ahead by a client that has closed: nobody waits for its response."""
+        waits_behind_another = bool(self.request_count) and self.current_request is None and not self.input.is_exhausted
+        return waits_behind_another and not self.is_closing and self.has_peer_closed
+
     def _apply_back_pressure(self) -> None:
         """Pause or resume reading, so that input behind a waiting request stays in the kernel."""
         if self.finished:
--- a/tests/platform_relay/test_client_connections.py
+++ b/tests/platform_relay/test_client_connections.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Callable
 from pathlib import Path
 
@@ -15,7 +16,7 @@
 from linnetstile.platform_relay.relay import PlatformRelay
 from linnetstile.platform_relay.submission import Submission
 
-from .http_messages import connect, connect_and_submit, read_status, request_status, submission
+from .http_messages import connect, connect_and_submit, port_of, read_status, request_status, submission
 from .relay_testbed import RelayTestbed, delivered_ids, is_idle, run_scenario, wait_until, wait_until_idle, with_limits
 
 BAD_REQUESTS = [
@@ -216,3 +217,62 @@
         writer.close()
 
     run_scenario(tmp_path, scenario)
+
+
+def leave_with_a_reset(client: socket.socket) -> None:
+    """Close a client's socket so that its peer is reset at once, as a client does that leaves answers unread."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def leave_in_order(client: socket.socket) -> None:
+    client.close()
+
+
+async def blocking_client(relay: PlatformRelay) -> socket.socket:
+    """Return a client's connection that the relay has accepted, whose calls do not let the relay run."""
+    client = socket.create_connection(("127.0.0.1", port_of(relay)), timeout=5)
+    await wait_until(lambda: relay.frontend.server.connections)
+    return client
+
+
+@pytest.mark.parametrize("leave", [leave_with_a_reset, leave_in_order])
+def test_requests_of_a_client_that_has_left_are_not_forwarded(
+    tmp_path: Path, leave: Callable[[socket.socket], None]
+) -> None:
+    # Guards against requests that are sent on after their client has left, with many of them still unread.
+    async def scenario(testbed: RelayTestbed) -> None:
+        relay = await testbed.start_relay()
+        client = await blocking_client(relay)
+        client.sendall(b"".join(submission(f"m{number}") for number in range(20)))
+        leave(client)  # before the relay runs again: all requests and the end of the connection have arrived
+        await wait_until(lambda: not relay.frontend.server.connections)
+        await wait_until_idle(relay)
+        await asyncio.sleep(0.1)
+        assert delivered_ids(testbed) in ([], ["m0"])
+        assert not relay.engine.queues.messages
+        assert not relay.engine.in_flight
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_message_whose_acknowledgement_cannot_be_written_is_not_forwarded(tmp_path: Path) -> None:
+    # Guards against a message that is forwarded although its client was reset before its 202.
+    async def scenario(testbed: RelayTestbed) -> None:
+        relay = await testbed.start_relay()
+        client = await blocking_client(relay)
+        on_submission = relay.frontend.on_submission
+
+        def submit_and_leave(request: server.RequestContext, submitted: Submission) -> None:
+            on_submission(request, submitted)
+            leave_with_a_reset(client)
+
+        relay.frontend.on_submission = submit_and_leave
+        client.sendall(submission("m", "pay"))
+        await wait_until(lambda: relay.counts.get("unheard"))
+        await asyncio.sleep(0.1)
+        assert not testbed.endpoint_calls
+        assert not testbed.notices
+        assert is_idle(relay)
+
+    run_scenario(tmp_path, scenario)
