The ids of ended messages outlive a restart: an id that comes again does not run twice

Reproduced: delivered, killed, started, the same id is taken on and runs again, also of a class once. Cause: SubmissionIds.ended lived in memory alone. Ruled out: in one process the id is known, however the client leaves (409).

--- a/linnetstile/engine/resource_limits.py
+++ b/linnetstile/engine/resource_limits.py
@@ -49,6 +49,7 @@
 IDLE_DESCRIPTOR_DIVISOR = 4
 MESSAGE_DISK_DIVISOR = 4
 COMPACTION_DISK_DIVISOR = 2
+ENDED_ID_FILE_DIVISOR = 8  # of the size at which the journal is compacted: identifiers of ended messages
 # Division of the memory that is left beside the process itself, the files of the journal and a copy of it that is being
 # written. The rest, 3/16, is for lists, for routes in use and for what the allocator can't return.
 CLIENT_MEMORY_DIVISOR = 4  # connections of clients, without what they have sent
--- a/linnetstile/platform_relay/accepted.py
+++ b/linnetstile/platform_relay/accepted.py
@@ -96,6 +96,11 @@
         self.submission_ids.add(journaled.fields.submission_id)
         self._journal.message_bytes += self._journal.reserved_bytes(journaled)
 
+    def restore_ended(self, submission_ids: Iterable[str]) -> None:
+        """Record the ids of messages that ended in an earlier process, so that they are not accepted again."""
+        for submission_id in submission_ids:
+            self.submission_ids.complete(submission_id)
+
     def remove(self, message_id: int) -> AcceptedMessage:
         """Remove and return a message that has its result."""
         message = self.by_id.pop(message_id)
--- a/linnetstile/platform_relay/journal.py
+++ b/linnetstile/platform_relay/journal.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from ..engine.resource_limits import JOURNAL_OVERHEAD_BYTES
-from .journal_codec import encode_compacted
+from ..engine.resource_limits import ENDED_ID_FILE_DIVISOR, JOURNAL_OVERHEAD_BYTES
+from .journal_codec import encode_compacted, encode_ended_id
 from .journal_replay import replay
 from .records import JournaledMessage, JournalRecord
 
@@ -36,6 +36,7 @@
         message_bytes: Sum of `reserved_bytes` over the accepted messages.
         failed_writes: Number of writes that failed.
         damaged_bytes: Bytes of an earlier process's journal that could not be read.
+        ended_ids: Submission ids of complete messages in an earlier process's journal, the latest last.
         last_error: Reason of the last failed write; empty without one.
     """
 
@@ -45,6 +46,7 @@
     message_bytes: int = 0
     failed_writes: int = 0
     damaged_bytes: int = 0
+    ended_ids: list[str] = field(default_factory=list)
     last_error: str = ""
     _descriptor: int = NO_DESCRIPTOR
     _unwritten: list[bytes] = field(default_factory=list)
@@ -59,10 +61,10 @@
         (self.folder / REWRITE_NAME).unlink(missing_ok=True)
         records: dict[int, JournalRecord] = {}
         if path.exists():
-            replayed = replay(path.read_bytes())
+            replayed = replay(path.read_bytes(), self.ended_ids)
             records = replayed.records
             self.damaged_bytes = replayed.damaged_bytes
-        self.rewrite(records.values())
+        self.rewrite(records.values(), self.ended_ids)
         if self._descriptor == NO_DESCRIPTOR:  # no space for a new file: the old one is used, and compacted later
             self._descriptor = os.open(path, APPEND_FLAGS, FILE_MODE)
             self._request_rewrite()
@@ -110,12 +112,17 @@
     def _request_rewrite(self) -> None:
         self.size = self.compaction_bytes + 1
 
-    def rewrite(self, records: Iterable[JournalRecord]) -> None:
+    def rewrite(self, records: Iterable[JournalRecord], ended_ids: Iterable[str] = ()) -> None:
         """Compact the journal: write these records to a new file, which replaces the old one atomically.
 
         The old file stays in use if the new one cannot be written.
+
+        Args:
+            records: The messages and notices that are not complete.
+            ended_ids: Submission ids of complete messages, the latest last; as many of the latest are kept as fit.
         """
-        data = b"".join(encoded for record in records for encoded in encode_compacted(record))
+        encoded_records = [encoded for record in records for encoded in encode_compacted(record)]
+        data = b"".join([*self._encode_ended_ids(ended_ids), *encoded_records])
         try:
             descriptor = self._replace_file(data)
         except OSError as error:
@@ -126,6 +133,18 @@
         self._descriptor = descriptor
         self.size = len(data)
 
+    def _encode_ended_ids(self, ended_ids: Iterable[str]) -> list[bytes]:
+        """Return the records of the latest of these ids that fit into their part of the file, the latest last."""
+        space_left = self.compaction_bytes // ENDED_ID_FILE_DIVISOR
+        latest_first: list[bytes] = []
+        for submission_id in reversed(list(ended_ids)):
+            record = encode_ended_id(submission_id)
+            space_left -= len(record)
+            if space_left < 0:
+                break
+            latest_first.append(record)
+        return latest_first[::-1]
+
     def _replace_file(self, data: bytes) -> int:
         """Replace the file by a new one that holds `data`; return its descriptor.
 
--- a/linnetstile/platform_relay/journal_codec.py
+++ b/linnetstile/platform_relay/journal_codec.py
@@ -18,6 +18,7 @@
     AttemptStartRecord,
     CompletionRecord,
     DecodedRecord,
+    EndedIdRecord,
     JournaledAttempt,
     JournaledMessage,
     JournalRecord,
@@ -33,7 +34,8 @@
 ATTEMPT_ENDED = b"O"
 NOTICE_PENDING = b"N"
 COMPLETED = b"E"
-RECORD_KINDS = (ACCEPTED, ATTEMPT_STARTED, ATTEMPT_ENDED, NOTICE_PENDING, COMPLETED)
+ENDED_ID = b"I"  # earlier versions skip it
+RECORD_KINDS = (ACCEPTED, ATTEMPT_STARTED, ATTEMPT_ENDED, NOTICE_PENDING, COMPLETED, ENDED_ID)
 MAX_CONTENT_BYTES = 256 * 1024  # ample for a body of 64 KiB and its metadata: a larger length shows damage
 
 METADATA_LENGTH = struct.Struct("<I")  # length in bytes of the JSON metadata, which precedes the body
@@ -130,6 +132,11 @@
     return _record(COMPLETED, MESSAGE_FLAG.pack(message_id, False))
 
 
+def encode_ended_id(submission_id: str) -> bytes:
+    """Encode the record of the submission id of a message that is complete."""
+    return _record(ENDED_ID, submission_id.encode())
+
+
 def encode_compacted(record: JournalRecord) -> Iterator[bytes]:
     """Yield the shortest sequence of records with the same meaning, for a compacted journal."""
     if isinstance(record, PendingNotice):
@@ -183,6 +190,8 @@
         return _decode_pending_notice(content)
     if kind == ATTEMPT_STARTED:
         return _decode_attempt_started(content)
+    if kind == ENDED_ID:
+        return EndedIdRecord(content.decode())
     message_id, may_have_effect = MESSAGE_FLAG.unpack_from(content)
     if kind == ATTEMPT_ENDED:
         return AttemptEndRecord(message_id, may_have_effect)
--- a/linnetstile/platform_relay/journal_replay.py
+++ b/linnetstile/platform_relay/journal_replay.py
@@ -13,6 +13,7 @@
     AttemptStartRecord,
     CompletionRecord,
     DecodedRecord,
+    EndedIdRecord,
     JournaledAttempt,
     JournaledMessage,
     JournalRecord,
@@ -32,15 +33,21 @@
     damaged_bytes: int
 
 
-def replay(data: bytes) -> ReplayedJournal:
-    """Replay the content of a journal file."""
+def replay(data: bytes, ended_ids: list[str] | None = None) -> ReplayedJournal:
+    """Replay the content of a journal file.
+
+    Args:
+        data: The content.
+        ended_ids: Gets the submission ids of complete messages that the file still has, the one that ended first first.
+    """
+    ended_ids = [] if ended_ids is None else ended_ids
     records: dict[int, JournalRecord] = {}
     damaged_bytes = 0
     start = 0
     while start < len(data):
         end = valid_record_end(data, start)
         if end is not None:
-            _apply(records, decode_record(data, start, end))
+            _apply(records, decode_record(data, start, end), ended_ids)
         else:
             end = _end_of_damage(data, start)
             damaged_bytes += end - start
@@ -61,7 +68,7 @@
     return next((at for at in candidates if valid_record_end(data, at) is not None), len(data))
 
 
-def _apply(records: dict[int, JournalRecord], record: DecodedRecord) -> None:
+def _apply(records: dict[int, JournalRecord], record: DecodedRecord, ended_ids: list[str]) -> None:
     match record:
         case JournaledMessage() | PendingNotice():
             records[record.id] = record
@@ -70,7 +77,15 @@
         case AttemptEndRecord():
             _apply_attempt_end(records, record)
         case CompletionRecord():
-            records.pop(record.message_id, None)
+            completed = records.pop(record.message_id, None)
+            if completed is not None:
+                ended_ids.append(_submission_id(completed))
+        case EndedIdRecord():
+            ended_ids.append(record.submission_id)
+
+
+def _submission_id(record: JournalRecord) -> str:
+    return record.notice.submission_id if isinstance(record, PendingNotice) else record.fields.submission_id
 
 
 def _apply_attempt_start(records: dict[int, JournalRecord], record: AttemptStartRecord) -> None:
--- a/linnetstile/platform_relay/records.py
+++ b/linnetstile/platform_relay/records.py
@@ -126,4 +126,12 @@
     message_id: int
 
 
-DecodedRecord = JournalRecord | AttemptStartRecord | AttemptEndRecord | CompletionRecord  # one record of the file
+@dataclass(frozen=True, slots=True)
+class EndedIdRecord:
+    """The submission id of a message that is complete, kept in a compacted journal so that it is not accepted again."""
+
+    submission_id: str
+
+
+# One record of the file.
+DecodedRecord = JournalRecord | AttemptStartRecord | AttemptEndRecord | CompletionRecord | EndedIdRecord
--- a/linnetstile/platform_relay/relay.py
+++ b/linnetstile/platform_relay/relay.py
@@ -32,6 +32,7 @@
 from .log_events import EventLog
 from .notices import NoticeSender
 from .process_memory import resident_bytes
+from .records import JournalRecord
 from .recovery import Recovery, wait_for_first_list
 from .results import ResultReporter
 from .shutdown import GracefulShutdown
@@ -190,6 +191,8 @@
         """
         self.settings.state.mkdir(parents=True, exist_ok=True)
         records = self.journal.open()
+        self.accepted.restore_ended(self.journal.ended_ids)
+        self.journal.ended_ids = []
         self._load_known_list()
         await self.frontend.start(*self.settings.listen)
         self.watch.start()
@@ -265,7 +268,8 @@
                 self._close_idle(action.endpoint)
         self.journal.flush()
         if self.journal.needs_rewrite:
-            self.journal.rewrite([*self.accepted.journaled(), *self.reporter.pending_notices.values()])
+            pending: list[JournalRecord] = [*self.accepted.journaled(), *self.reporter.pending_notices.values()]
+            self.journal.rewrite(pending, self.accepted.submission_ids.ended)
 
     def _carry_out(self, action: Action) -> None:
         match action:
--- a/tests/platform_relay/test_journal.py
+++ b/tests/platform_relay/test_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -189,3 +190,30 @@
     journal.add(accepted_record(2, b"written"))
     assert journal.flush()
     assert list(Journal(tmp_path, COMPACTION_BYTES).open()) == [2]
+
+
+def test_ids_of_complete_messages_outlive_compactions_and_the_latest_are_kept(tmp_path: Path) -> None:
+    # Guards against an id that runs twice: a restart forgot the ids of messages that had ended.
+    journal = Journal(tmp_path, COMPACTION_BYTES)
+    journal.open()
+    for message_id in range(1, 4):
+        fields = replace(FIELDS, submission_id=f"id-{message_id}")
+        journal.add(encode_accepted(JournaledMessage(message_id, fields, b"")))
+        journal.add(encode_completed(message_id))
+    assert journal.flush()
+    journal.close()
+    for _ in range(2):  # read from the records of the messages, then from a compacted journal
+        journal = Journal(tmp_path, COMPACTION_BYTES)
+        assert journal.open() == {}
+        assert journal.ended_ids == ["id-1", "id-2", "id-3"]
+        journal.close()
+    many = [f"{number:0128}" for number in range(1000)]
+    journal = Journal(tmp_path, COMPACTION_BYTES)
+    journal.open()
+    journal.rewrite([], many)
+    assert 0 < journal.size <= COMPACTION_BYTES / 8
+    journal.close()
+    journal = Journal(tmp_path, COMPACTION_BYTES)
+    journal.open()
+    kept = len(journal.ended_ids)
+    assert journal.ended_ids == many[-kept:]
--- a/tests/platform_relay/test_recovery.py
+++ b/tests/platform_relay/test_recovery.py
@@ -238,12 +238,8 @@
     run_scenario(tmp_path, scenario)
 
 
-def test_submission_id_of_a_completed_message_is_accepted_again_after_a_restart(tmp_path: Path) -> None:
-    """Completed ids are not journaled, so that a non-idempotent message can run twice.
-
-    This needs a client that submits the same id after the completion and after a restart, which the platform's rules
-    exclude.
-    """
+def test_submission_id_of_a_completed_message_is_not_accepted_again_after_a_restart(tmp_path: Path) -> None:
+    """Completed ids are journaled, so that a non-idempotent message does not run twice."""
 
     async def scenario(testbed: RelayTestbed) -> None:
         discovery_address = await testbed.start_discovery()
@@ -253,9 +249,30 @@
         assert await request_status(first, submission("m", "pay")) == 409
         testbed.stop_relay(first)
         second = await testbed.start_relay(discovery_address)
-        assert await request_status(second, submission("m", "pay")) == 202
+        assert await request_status(second, submission("m", "pay")) == 409
         await wait_until_idle(second)
-        assert delivered_ids(testbed) == ["m", "m"]
+        assert delivered_ids(testbed) == ["m"]
         assert await request_status(second, submission("m", "pay")) == 409
 
     run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("ends", ["delivered", "with a notice"])
+def test_id_of_an_ended_message_is_not_accepted_again_after_a_kill(tmp_path: Path, ends: str) -> None:
+    # Guards against an id that runs twice when it comes again after its client has left and the relay was killed.
+    async def scenario(testbed: RelayTestbed) -> None:
+        await testbed.add_endpoint(7, "DRAINING")
+        destination, time_left = (1, "5000m") if ends == "delivered" else (7, "100m")
+        relay = await testbed.start_relay()
+        message = submission("m", destination=destination, time_left=time_left)
+        assert await request_status(relay, message) == 202
+        await wait_until_idle(relay)
+        for number in range(2):
+            testbed.kill_relay(relay, tmp_path / f"restart-{number}" / "journal")
+            relay = await testbed.start_relay()
+            assert await request_status(relay, submission("m")) == 409
+        assert await request_status(relay, submission("other")) == 202
+        await wait_until_idle(relay)
+        assert delivered_ids(testbed).count("m") == (ends == "delivered")
+
+    run_scenario(tmp_path, scenario)
