An endpoint at another address is another process: calls to the old one are cancelled

Reproduced: an entry changes its address while a call waits for its connection; a process of another destination has the old address and gets the message. Cause: list_update._store kept a change of the address alone from the engine, so CancelIfUnsent never came. Ruled out: new ids at old addresses, open connections (keyed by id and address), keys of deduplication (the destination's). Change: another address is a removed and a new endpoint, in one event.

--- a/linnetstile/platform_relay/endpoint_record.py
+++ b/linnetstile/platform_relay/endpoint_record.py
@@ -102,6 +102,12 @@
     return int(NARROW_LAYOUT.unpack_from(record)[1])  # at the same offset in both layouts
 
 
+def record_host_port(record: bytes) -> tuple[str, int]:
+    """Return the host and the port of the endpoint."""
+    address = address_from_record(0, record)
+    return address.host, address.port
+
+
 def endpoint_from_record(endpoint_id: int, record: bytes, status: EndpointStatus | None = None) -> Endpoint:
     """Return the endpoint for the engine; a `status` overrides that of the record."""
     layout = WIDE_LAYOUT if record[0] & FLAG_WIDE else NARROW_LAYOUT
--- a/linnetstile/platform_relay/list_update.py
+++ b/linnetstile/platform_relay/list_update.py
@@ -8,7 +8,7 @@
 from ..engine.events import Endpoint, EndpointStatus
 from ..engine.watch_policy import ENTRIES_PER_EVENT, ROWS_PER_REMOVAL_STEP, ListVersionGuard
 from ..errors import ProtocolError
-from .endpoint_record import endpoint_from_record, pack_record, record_destination, with_draining
+from .endpoint_record import endpoint_from_record, pack_record, record_destination, record_host_port, with_draining
 from .endpoint_table import EndpointTable
 from .list_entry import encode_name, entry_name, parse_details, parse_name, parse_status
 
@@ -124,9 +124,14 @@
         self._store(row, status, record, changed, is_new=is_new)
 
     def _has_moved(self, row: int, record: bytes, destination: int) -> bool:
-        """Return whether the new record assigns the endpoint in a row to another destination."""
+        """Return whether the new record assigns the endpoint in a row to another destination or address.
+
+        It is another process then: calls that are not on the wire yet must not reach whoever has the old address now.
+        """
         old_record = self._table.records[row]
-        return old_record is not None and old_record != record and record_destination(old_record) != destination
+        if old_record is None or old_record == record:
+            return False
+        return record_destination(old_record) != destination or record_host_port(old_record) != record_host_port(record)
 
     def _drop(self, row: int, changed: dict[int, Endpoint]) -> None:
         gone = self._table.drop_row(row)
@@ -155,7 +160,6 @@
         records[row] = record
         endpoint_id = self._table.row_id(row)
         endpoint = endpoint_from_record(endpoint_id, record)
-        # The engine does not use addresses, so a change of the address alone is not published.
         if is_new or endpoint != endpoint_from_record(endpoint_id, old_record):
             changed[endpoint_id] = endpoint
 
--- a/tests/platform_relay/test_directory.py
+++ b/tests/platform_relay/test_directory.py
@@ -50,15 +50,18 @@
     assert list(directory) == ids
     entries[77] = list_entry("s-77", "DRAINING", 77)
     entries[78] = list_entry("s-78", destination=78, weight=6.0)
-    entries[79] = list_entry("s-79", destination=79, addr="10.0.0.9:9")  # addresses are not published
+    entries[79] = list_entry("s-79", destination=79, addr="10.0.0.9:9")  # it gets a new id
     removed_entry = entries.pop()
     _, steps = apply_in_batches(directory, entries, batch_size, version=3)
+    assert directory.id_of("s-79") not in ids
     assert [(endpoint.id, endpoint.status, endpoint.destination) for endpoint in flatten(steps)] == [
         (ids[77], EndpointStatus.DRAINING, 77),
         (ids[78], EndpointStatus.READY, 78),
+        (ids[79], EndpointStatus.GONE, 79),
+        (directory.id_of("s-79"), EndpointStatus.READY, 79),
         (ids[-1], EndpointStatus.GONE, removed_entry["cell"]),
     ]
-    moved_address = directory.address_of(ids[79])
+    moved_address = directory.address_of(directory.id_of("s-79"))
     assert moved_address
     assert moved_address.host == "10.0.0.9"
 
