A process that starts while discovery is silent goes by what the one before was told

Cause: nothing of the list was kept in the folder that lasts; after its grace the new process went by known of its first start. Ruled out: the same restart without the outage sends none.

--- a/linnetstile/engine/resource_limits.py
+++ b/linnetstile/engine/resource_limits.py
@@ -49,6 +49,7 @@
 IDLE_DESCRIPTOR_DIVISOR = 4
 MESSAGE_DISK_DIVISOR = 4
 COMPACTION_DISK_DIVISOR = 2
+LIST_DISK_DIVISOR = 16  # the list of endpoints; its new version is beside it for a moment
 ENDED_ID_FILE_DIVISOR = 8  # of the size at which the journal is compacted: identifiers of ended messages
 # Division of the memory that is left beside the process itself, the files of the journal and a copy of it that is being
 # written. The rest, 3/16, is for lists, for routes in use and for what the allocator can't return.
@@ -114,6 +115,7 @@
         max_idle_connections: Idle connections to endpoints that are kept.
         max_message_bytes: Bytes of pending messages in the journal; more are rejected.
         compaction_bytes: Size of the journal at which it is compacted.
+        max_list_bytes: Size of the list of endpoints that is kept on disk.
         max_input_bytes: Bytes that clients have sent of incomplete and waiting requests.
         max_message_memory_bytes: Memory of pending messages and notices; more messages are rejected.
         max_messages: Pending messages above which the engine sheds load.
@@ -124,6 +126,7 @@
     max_idle_connections: int
     max_message_bytes: int
     compaction_bytes: int
+    max_list_bytes: int
     max_input_bytes: int
     max_message_memory_bytes: int
     max_messages: int
@@ -167,6 +170,7 @@
         max_idle_connections=max(slots, idle_connections),
         max_message_bytes=int(disk_bytes / MESSAGE_DISK_DIVISOR),
         compaction_bytes=int(disk_bytes / COMPACTION_DISK_DIVISOR),
+        max_list_bytes=int(disk_bytes / LIST_DISK_DIVISOR),
         max_input_bytes=max(MIN_INPUT_BYTES, memory_left // INPUT_MEMORY_DIVISOR),
         max_message_memory_bytes=message_bytes,
         max_messages=(message_bytes - message_bytes // BODY_MEMORY_DIVISOR) // MESSAGE_BYTES,
--- a/linnetstile/platform_relay/directory.py
+++ b/linnetstile/platform_relay/directory.py
@@ -40,6 +40,10 @@
     def __contains__(self, endpoint_id: int) -> bool:
         return self.table.record_of(endpoint_id) is not None
 
+    def records(self) -> Iterator[bytes]:
+        """Iterate over the records of all endpoints. No list may be applied during the iteration."""
+        return (record for record in self.table.records if record is not None)
+
     def id_of(self, name: str) -> int:
         """Return the id of the endpoint with this name; 0 if there is none."""
         row = self.table.find_row(encode_name(name))
--- a/linnetstile/platform_relay/relay.py
+++ b/linnetstile/platform_relay/relay.py
@@ -13,11 +13,12 @@
 
 from ..engine.actions import Action, Cancel, CancelIfUnsent, CloseIdle, Fail, Log, Reject, Send
 from ..engine.engine import DeliveryEngine
-from ..engine.events import EndpointList, EndpointStatus, Event
+from ..engine.events import EndpointList, EndpointStatus, Event, ListKind
 from ..engine.resource_limits import NOTICE_BYTES, resource_limits
 from ..engine.unknown_class import unknown_class
 from ..net import client
 from ..net.engine_loop import EngineLoop
+from ..net.fault_boundary import FaultBoundary
 from . import clock, log_events
 from .accepted import AcceptedMessages
 from .config import Address, RelaySettings
@@ -28,6 +29,7 @@
 from .http_frontend import HttpFrontend
 from .intake import Intake
 from .journal import Journal
+from .list_store import ListStore, StoredNames, newer_list
 from .list_update import InvalidListError
 from .log_events import EventLog
 from .notices import NoticeSender
@@ -55,6 +57,7 @@
         directory: The endpoints that discovery lists.
         journal: Journal of messages, attempts and notices.
         accepted: Messages that were accepted and have no result yet.
+        list_store: The list of endpoints in the state folder.
         watch: Reads the list of endpoints from discovery.
         notice_sender: Posts notices to the platform.
         endpoint_client: Makes calls to endpoints.
@@ -97,6 +100,9 @@
         self.journal = Journal(settings.state, self.limits.compaction_bytes)
         self.accepted = AcceptedMessages(self.journal, self.limits.max_ended_ids)
 
+        self.list_store = ListStore(settings.state, self.limits.max_list_bytes)
+        self._list_write_scheduled = False
+
         # Connections to discovery, the platform and endpoints. All backoffs share one random number generator.
         rng = random.Random(settings.seed)
         self.watch = Watch(
@@ -193,7 +199,7 @@
         records = self.journal.open()
         self.accepted.restore_ended(self.journal.ended_ids)
         self.journal.ended_ids = []
-        self._load_known_list()
+        self._load_cached_list()
         await self.frontend.start(*self.settings.listen)
         self.watch.start()
         # Recovered messages wait for discovery's list, as endpoints of the cached list may be gone.
@@ -210,9 +216,13 @@
             damaged=self.journal.damaged_bytes,
         )
 
-    def _load_known_list(self) -> None:
+    def _load_cached_list(self) -> None:
+        """Go by the list that an earlier process was told, or by that of the configuration if it is newer."""
+        known_list = self.settings.known_list
+        with FaultBoundary("the stored list of endpoints"):
+            known_list = newer_list(self.list_store.read(), known_list)
         with contextlib.suppress(InvalidListError):  # the configuration has no valid cached list
-            self._on_list_event(self.directory.apply_list(self.settings.known_list, cached=True))
+            self._on_list_event(self.directory.apply_list(known_list, cached=True))
         # The parsed JSON takes ten times the memory of the directory, so the reference to it is dropped.
         self.settings = replace(self.settings, known_list={})
 
@@ -248,6 +258,19 @@
         self.endpoint_client.close()
         self.journal.close()
 
+    def _schedule_list_write(self) -> None:
+        if not self._list_write_scheduled:
+            self._list_write_scheduled = True
+            self.loop.call_soon(self._write_list)
+
+    def _write_list(self) -> None:
+        """Store the list for the next process: what this one was told binds that one, too."""
+        self._list_write_scheduled = False
+        names = StoredNames(
+            self.directory.version_guard.newest_version, tuple(self.directory.kinds), tuple(self.directory.zones)
+        )
+        self.list_store.write(names, self.directory.records())
+
     # -- the engine ------------------------------------------------------------------------------------------
 
     def _run_turn(self, events: list[Event], actions: list[Action]) -> None:
@@ -295,6 +318,8 @@
         The address of a removed endpoint is no longer known: its idle connections are closed by the idle timeout.
         """
         self.engine_loop.post(event)
+        if event.kind is not ListKind.CACHED:
+            self._schedule_list_write()
         for entry in event.endpoints:
             if entry.status is not EndpointStatus.READY:
                 self._close_idle(entry.id)
--- a/tests/platform_relay/relay_testbed.py
+++ b/tests/platform_relay/relay_testbed.py
@@ -77,6 +77,7 @@
         state_folder: Folder of the next relay's journal.
         settings: Settings of the next relay.
         entries: Entries of discovery's list.
+        known_list: The cached list in the next relay's configuration.
         scripted_responses: The next responses by destination, where None leaves a call without a response. Calls after
             the last one are answered 200.
         endpoint_calls: Calls that endpoints received.
@@ -91,6 +92,7 @@
         self.state_folder = state_folder
         self.settings = SETTINGS
         self.entries: list[dict[str, Any]] = []
+        self.known_list: dict[str, Any] = {}
         self.scripted_responses: dict[int, list[bytes | None]] = {}
         self.endpoint_calls: list[EndpointCall] = []
         self.endpoint_connections = 0
@@ -191,6 +193,7 @@
                     "discovery": f"{host}:{port}",
                     "seed": "1",
                     "limits": limits,
+                    "known": self.known_list,
                     "settings": self.settings,
                 }
             )
