The server files of net/ import each other in one direction only

Need: server, server_connection, request_context, response_writer, request_rejection, server_limits and connection_registry named each other in a circle; the connection's state and its responses stood in three files. Change: request_connection.py has the state of a connection, its requests and responses, and Listener, what it needs of its server; server_settings.py the limits. server_connection.py reads, the rest judges. No behaviour changes.

--- a/linnetstile/as2_relay/connection_reporter.py
+++ b/linnetstile/as2_relay/connection_reporter.py
@@ -28,7 +28,7 @@
         """Log a client that sent bytes that are not a valid HTTP request."""
         self.log.warning(log_events.PROTOCOL_ERROR, peer=peer, status=error.status, why=error.text)
 
-    def on_client_evicted(self, connection: server.ServerConnection, reason: str) -> None:
+    def on_client_evicted(self, connection: server.RequestConnection, reason: str) -> None:
         """Count and log a client connection that was closed because of the limit `reason`."""
         self.counts[f"let_go_{reason}"] += 1
         origin = origin_of(connection.current_request)
--- a/linnetstile/net/client_connection.py
+++ b/linnetstile/net/client_connection.py
@@ -184,7 +184,7 @@
         super().connection_lost(exc)
         self.pool.remove(self)
         first_line_status = self.parser.first_line_status
-        self.parser.drop_input()  # the parser refers to itself: its memory would wait for the garbage collector
+        self.parser.drop_input()  # others may still refer to the connection, and need none of this
         self.body_pieces.clear()
         call, self.call = self.call, None
         if call is not None:
--- a/linnetstile/net/connection_registry.py
+++ b/linnetstile/net/connection_registry.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..engine.connection_eviction import IdleConnection, connections_to_evict
-from .server_connection import ServerConnection
+from .request_connection import RequestConnection
 
 # Time in which a new connection is evicted only after all others, because its first bytes may not have been read yet.
 NEW_CONNECTION_GRACE_S = 0.5
@@ -22,7 +22,7 @@
         loop: asyncio.AbstractEventLoop,
         max_connections: int,
         candidates_per_ranking: int,
-        on_evict: Callable[[ServerConnection], None],
+        on_evict: Callable[[RequestConnection], None],
     ) -> None:
         """Create an empty registry.
 
@@ -32,21 +32,21 @@
             candidates_per_ranking: Number of candidates for eviction that one ranking selects.
             on_evict: Called with a connection before it is evicted.
         """
-        self.connections: set[ServerConnection] = set()
+        self.connections: set[RequestConnection] = set()
         self._loop = loop
         self._max_connections = max_connections
         self._candidates_per_ranking = candidates_per_ranking
         self._on_evict = on_evict
         self._count_by_host: dict[str, int] = {}
-        self._candidates: list[tuple[str, ServerConnection]] = []  # hosts and connections; the last is evicted first
+        self._candidates: list[tuple[str, RequestConnection]] = []  # hosts and connections; the last is evicted first
         self._ranked_at = 0.0  # loop time, s
 
-    def add(self, connection: ServerConnection) -> None:
+    def add(self, connection: RequestConnection) -> None:
         """Register a new connection."""
         self.connections.add(connection)
         self._count_by_host[connection.host] = self._count_by_host.get(connection.host, 0) + 1
 
-    def remove(self, connection: ServerConnection) -> None:
+    def remove(self, connection: RequestConnection) -> None:
         """Remove a connection, if it is registered."""
         if connection in self.connections:
             self.connections.remove(connection)
@@ -54,7 +54,7 @@
             if not self._count_by_host[connection.host]:
                 del self._count_by_host[connection.host]
 
-    def admit_connection(self, connection: ServerConnection) -> bool:
+    def admit_connection(self, connection: RequestConnection) -> bool:
         """Return whether a new connection may stay open.
 
         At the limit, a connection without an outstanding response is evicted for it, so that half-open connections
@@ -75,14 +75,14 @@
             return True
         return False
 
-    def _may_evict(self, candidate: ServerConnection) -> bool:
+    def _may_evict(self, candidate: RequestConnection) -> bool:
         """Whether a candidate may still be evicted; its state may have changed since the ranking."""
         if candidate.is_closing or candidate.has_outstanding_response or candidate not in self.connections:
             return False
         next_request_arrived = candidate.had_complete_request and candidate.has_unread_input
         return not next_request_arrived
 
-    def _evict(self, connection: ServerConnection) -> None:
+    def _evict(self, connection: RequestConnection) -> None:
         self._on_evict(connection)
         connection.transport.abort()
         # Removed before the event loop reports its end, because the new connection takes its place in the count now.
--- a/linnetstile/net/input_memory.py
+++ b/linnetstile/net/input_memory.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from .server_connection import ServerConnection
+from .request_connection import RequestConnection
 
 # Part of the limit to which the sum is reduced once it is exceeded, so that one pass makes room for many reads.
 RECLAIM_FRACTION = 0.75
@@ -24,7 +22,7 @@
         self.max_bytes = max_bytes
         self.total_bytes = 0
 
-    def update(self, connection: ServerConnection) -> None:
+    def update(self, connection: RequestConnection) -> None:
         """Account for what a connection holds now."""
         held_bytes = 0 if connection.is_lost else connection.input.held_bytes + connection.body.held_bytes
         self.total_bytes += held_bytes - connection.accounted_input_bytes
@@ -35,7 +33,7 @@
         """Whether the sum exceeds its limit."""
         return 0 < self.max_bytes < self.total_bytes
 
-    def connections_to_reject(self, incomplete: Iterable[ServerConnection]) -> Iterator[ServerConnection]:
+    def connections_to_reject(self, incomplete: Iterable[RequestConnection]) -> Iterator[RequestConnection]:
         """Yield the connections whose incomplete requests have to be rejected, those that hold the most first.
 
         A client whose request arrives at once holds next to nothing, so it is not the one to be rejected.
--- a/linnetstile/net/request_rejection.py
+++ b/linnetstile/net/request_rejection.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from ..codec import http1
 from . import server_limits
-from .response_writer import finish, write_final_response
-
-if TYPE_CHECKING:
-    from .server_connection import ServerConnection
+from .request_connection import RequestConnection
 
 TOO_SLOW_STATUS = 408
 TOO_SLOW_TEXT = "too slow: nothing of this request was taken"
@@ -18,21 +13,21 @@
 NO_MEMORY_TEXT = "refused: no memory for the rest of this request"
 
 
-def reject_malformed(connection: ServerConnection, error: http1.Http1Error) -> None:
+def reject_malformed(connection: RequestConnection, error: http1.Http1Error) -> None:
     """Answer malformed input with the status of its error, and close the connection."""
     connection.server.count("protocol_errors")
     connection.server.on_error(connection.peer_address(), error)
-    write_final_response(connection, error.status, error.text)
+    connection.write_final_response(error.status, error.text)
 
 
-def reject_for_shutdown(connection: ServerConnection, text: str) -> None:
+def reject_for_shutdown(connection: RequestConnection, text: str) -> None:
     """Answer 503 to an incomplete request and close; do nothing if no byte of a request was received."""
     request_begun = connection.current_request is not None or not connection.input.parser.is_idle
     if request_begun and not connection.skipping_body:
         _reject_incomplete(connection, SHUTDOWN_STATUS, text)
 
 
-def close_for_limit(connection: ServerConnection, limit: str) -> None:
+def close_for_limit(connection: RequestConnection, limit: str) -> None:
     """Close a connection that exceeds the limit of this name.
 
     The connection is closed in the way that tells the client most: the client of an incomplete request is answered that
@@ -40,7 +35,7 @@
     """
     if limit == server_limits.IDLE:
         if not connection.has_unread_input:  # otherwise its next request has arrived and is read soon
-            finish(connection)
+            connection.finish()
         return
     may_respond = not connection.input.parser.is_idle and _can_respond(connection)
     if may_respond and limit in server_limits.SLOW_REQUEST_LIMITS:
@@ -51,16 +46,16 @@
         connection.transport.abort()
 
 
-def _can_respond(connection: ServerConnection) -> bool:
+def _can_respond(connection: RequestConnection) -> bool:
     """Whether a response to the incomplete request of a connection may be written, and the peer may read it."""
     has_response = connection.finished or connection.skipping_body
     return not has_response and not connection.is_closing and not connection.peer_half_closed
 
 
-def _reject_incomplete(connection: ServerConnection, status: int, text: str) -> None:
+def _reject_incomplete(connection: RequestConnection, status: int, text: str) -> None:
     """Answer an incomplete request, and close the connection."""
     request = connection.current_request
     if request is not None and not request.answered:
         request.answered = True
         connection.server.release(request)
-    write_final_response(connection, status, text)
+    connection.write_final_response(status, text)
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 server: the listener and its life cycle, and the names that other packages import.
 
-The modules: `server_connection.py` reads requests, `request_context.py` is one request, `response_writer.py` writes
-responses, `request_rejection.py` rejects requests, `server_limits.py` defines the limits on idle and slow peers, and
-`connection_registry.py` stores the open connections.
+The modules: `request_connection.py` is one connection with its requests and responses, `server_connection.py` reads
+requests, `request_rejection.py` rejects them, `server_settings.py` has the limits on connections, `server_limits.py`
+and `input_memory.py` judge them, and `connection_registry.py` stores the open connections.
 """
 
 from __future__ import annotations
@@ -20,23 +20,19 @@
 from .fault_boundary import FaultBoundary
 from .input_memory import InputMemory
 from .periodic_timers import PeriodicTimers
-from .request_context import Handler, RequestContext
+from .request_connection import AdmitCallback, ErrorCallback, Handler, RequestConnection, RequestContext
 from .request_rejection import close_for_limit, reject_for_shutdown
 from .server_connection import ServerConnection
-from .server_limits import ServerLimits, violated_limit
+from .server_limits import violated_limit
+from .server_settings import ServerLimits
 
 if TYPE_CHECKING:
     from .tls import TlsContextFiles
 
-__all__ = ["ServerLimits", "ServerConnection", "Handler", "RequestContext", "Server"]
+__all__ = ["ServerLimits", "RequestConnection", "Handler", "RequestContext", "Server"]
 
-# Called with the peer's address and the error in its bytes or its TLS handshake.
-ErrorCallback = Callable[[str, http1.Http1Error], None]
-# Called with a request and the number of body bytes that it needs capacity for. Returns True if there is capacity,
-# False if the request was answered or waits for `RequestContext.resume_body`.
-AdmitCallback = Callable[[RequestContext, int], bool]
 # Called with a connection and the name of the limit that it is closed for.
-LimitCallback = Callable[[ServerConnection, str], None]
+LimitCallback = Callable[[RequestConnection, str], None]
 
 # Maximum number of connections accepted in one pass of the event loop. The open files may exceed the limit by this
 # number for a moment, because asyncio reports no accepted connection before the pass ends.
@@ -96,7 +92,7 @@
         self._timers = PeriodicTimers()
 
     @property
-    def connections(self) -> set[ServerConnection]:
+    def connections(self) -> set[RequestConnection]:
         """The open connections."""
         return self.registry.connections
 
@@ -134,11 +130,19 @@
         connection.tls = TlsTransport(connection, self.tls.context, True, on_handshake=connection.handshake_ended)
         return connection.tls
 
-    def admit_connection(self, connection: ServerConnection) -> bool:
+    def register(self, connection: RequestConnection) -> None:
+        """Add a connection that stays open."""
+        self.registry.add(connection)
+
+    def unregister(self, connection: RequestConnection) -> None:
+        """Remove a connection that has ended."""
+        self.registry.remove(connection)
+
+    def admit_connection(self, connection: RequestConnection) -> bool:
         """Return whether a new connection may stay open; if necessary, another one is evicted for it."""
         return self.registry.admit_connection(connection)
 
-    def _report_eviction(self, connection: ServerConnection) -> None:
+    def _report_eviction(self, connection: RequestConnection) -> None:
         self.count(server_limits.counter_name(server_limits.LISTENER_FULL))
         if not connection.had_complete_request:
             self.on_connection_evicted(connection, server_limits.LISTENER_FULL)
@@ -156,7 +160,7 @@
             list(self.connections), "a check of a connection's limits", lambda each: self._enforce(each, now)
         )
 
-    def _enforce(self, connection: ServerConnection, now: float) -> None:
+    def _enforce(self, connection: RequestConnection, now: float) -> None:
         """Close a connection if it exceeds a limit."""
         limit = violated_limit(connection, now)
         if not limit:
@@ -168,7 +172,7 @@
 
     @staticmethod
     def _for_each(
-        connections: Iterable[ServerConnection], work: str, function: Callable[[ServerConnection], None]
+        connections: Iterable[RequestConnection], work: str, function: Callable[[RequestConnection], None]
     ) -> None:
         """Call a function with each connection; one for which it raises an exception is aborted."""
         for connection in connections:
@@ -177,7 +181,7 @@
             if boundary.failed:
                 connection.transport.abort()
 
-    def account_input(self, connection: ServerConnection) -> None:
+    def account_input(self, connection: RequestConnection) -> None:
         """Account for the received bytes that a connection holds; reject incomplete requests if all hold too many."""
         self.input_memory.update(connection)
         if self.input_memory.is_exceeded:
@@ -185,7 +189,11 @@
             too_large = self.input_memory.connections_to_reject(incomplete)
             self._for_each(too_large, "the rejection of a request", self._reject_for_memory)
 
-    def _reject_for_memory(self, connection: ServerConnection) -> None:
+    def input_dropped(self, connection: RequestConnection) -> None:
+        """Account for a connection that holds no received bytes any more."""
+        self.input_memory.update(connection)
+
+    def _reject_for_memory(self, connection: RequestConnection) -> None:
         self.count(server_limits.counter_name(server_limits.MEMORY))
         self.on_connection_evicted(connection, server_limits.MEMORY)
         close_for_limit(connection, server_limits.MEMORY)
@@ -203,7 +211,7 @@
         incomplete = self._open_connections_in(connection_phase.INCOMPLETE_PHASES)
         self._for_each(incomplete, "the rejection of a request", lambda each: reject_for_shutdown(each, text))
 
-    def _open_connections_in(self, phases: tuple[ConnectionPhase, ...]) -> list[ServerConnection]:
+    def _open_connections_in(self, phases: tuple[ConnectionPhase, ...]) -> list[RequestConnection]:
         """Return the connections that are in one of these phases and are not being closed."""
         return [
             connection for connection in self.connections if connection.phase in phases and not connection.is_closing
@@ -244,5 +252,5 @@
     """Do nothing: no callback was given."""
 
 
-def _ignore_limit(connection: ServerConnection, limit: str) -> None:
+def _ignore_limit(connection: RequestConnection, limit: str) -> None:
     """Do nothing: no callback was given."""
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -1,28 +1,17 @@
 """One connection of the server: reads requests one at a time and passes them to the server's callbacks.
 
-The modules: `request_input.py` parses received bytes, `request_body.py` collects a body, `response_writer.py` writes
-responses, `request_rejection.py` rejects requests, and `server_limits.py` finds the limit that a connection exceeds.
+The modules: `request_connection.py` has its state and writes responses, `request_input.py` parses received bytes,
+`request_body.py` collects a body, and `request_rejection.py` rejects requests.
 """
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from ..codec import http1
-from . import connection_phase
-from .connection import BufferedConnection
-from .connection_phase import ConnectionPhase
 from .fault_boundary import FaultBoundary
-from .request_body import RequestBody
-from .request_context import RequestContext
-from .request_input import RequestInput
+from .request_connection import SMALL_BODY_BYTES, RequestConnection, RequestContext
 from .request_rejection import reject_malformed
-from .response_writer import SMALL_BODY_BYTES, discard_input
-
-if TYPE_CHECKING:
-    from .server import Server
-    from .tls import TlsTransport
 
 # Requests that a connection starts in one pass, so that a peer that pipelines many can't delay other connections.
 REQUESTS_PER_PASS = 1
@@ -32,31 +21,9 @@
 BODY_STEP_BYTES = 64 * 1024  # capacity requested at once for a body of unknown length
 
 
-class ServerConnection(BufferedConnection):
+class ServerConnection(RequestConnection):
     """A connection with a client: HTTP/1.1 with keep-alive and pipelining, one request at a time."""
 
-    def __init__(self, server: Server) -> None:
-        self.server = server
-        self.input = RequestInput(server.http_limits)
-        self.current_request: RequestContext | None = None
-        self.request_complete = False  # there is a current request, and all of its body was read
-        self.skipping_body = False  # the current request was answered before its body was read
-        self.waiting_for_capacity = False  # the current body is not read further until `resume_body`
-        self.body = RequestBody()  # body of the current request
-        self.accounted_input_bytes = 0  # what `InputMemory` has counted of this connection
-        self.request_count = 0  # number of requests begun on this connection
-        self.opened_at = server.loop.time()
-        self.phase_started_at = self.opened_at  # loop time (s) at which the current head or idle time began
-        self.reading_paused = False  # back-pressure: nothing is read from the kernel
-        self.processing_scheduled = False
-        self.peer_half_closed = False
-        self.finished = False  # the last response was written; further input is dropped
-        self.linger_started_at: float | None = None  # loop time, s
-        self.discarded_bytes = 0  # number of bytes received after the last response
-        self.tls: TlsTransport | None = None
-        limits = server.limits
-        self.start_rate_meters(limits.min_body_rate, limits.min_response_rate, limits.rate_grace_s)
-
     # -- life cycle --------------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -73,7 +40,7 @@
             self.server.count("refused_connections")
             self.transport.abort()  # limits the use of file descriptors and memory
             return
-        self.server.registry.add(self)
+        self.server.register(self)
 
     def handshake_ended(self, failure: str | None) -> None:
         """Report the TLS handshake if it failed."""
@@ -99,8 +66,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection, and notify the owner of its request. Called by asyncio."""
         super().connection_lost(exc)
-        self.server.registry.remove(self)
-        self.drop_input()  # the parser refers to itself, so that its memory would wait for the garbage collector
+        self.server.unregister(self)
+        self.drop_input()  # others may still refer to the connection, and need none of this
         self.release_incomplete()
         request, self.current_request = self.current_request, None  # they refer to each other
         was_pending = self.request_complete and request is not None
@@ -110,11 +77,6 @@
         if not notified_at_half_close:
             request.on_disconnect()
 
-    def release_incomplete(self) -> None:
-        """Release the capacity of a request that did not become complete."""
-        if self.current_request is not None and not self.current_request.answered and not self.response_pending:
-            self.server.release(self.current_request)
-
     # -- reading requests --------------------------------------------------------------------------------
 
     def received(self, data: memoryview) -> None:
@@ -123,7 +85,7 @@
         if self.input.parser.is_idle:
             self.phase_started_at = self.server.loop.time()
         if self.finished:
-            discard_input(self, len(data))
+            self.discard_input(len(data))
             return
         self.input.feed(data)
         if self.processing_scheduled:  # handled there: a connection has its turn once a pass
@@ -162,12 +124,6 @@
         self._apply_back_pressure()
         self.server.account_input(self)
 
-    def drop_input(self) -> None:
-        """Drop all received bytes: no further request is read."""
-        self.input.clear()
-        self.body.drop_pieces()
-        self.server.input_memory.update(self)
-
     @property
     def _can_process(self) -> bool:
         """Whether the next event may be handled now."""
@@ -284,54 +240,6 @@
         request.body = self.body.take()
         self.server.handler(request)
 
-    # -- state -------------------------------------------------------------------------------------------
-
-    @property
-    def response_backlogged(self) -> bool:
-        """Whether the client reads its responses too slowly for another request to be begun."""
-        return self.write_paused and self.unsent_bytes > self.server.limits.max_unsent_bytes
-
-    @property
-    def response_pending(self) -> bool:
-        """Whether the current request is complete and waits for its response."""
-        return self.request_complete and self.current_request is not None
-
-    @property
-    def phase(self) -> ConnectionPhase:
-        """The current phase of this connection."""
-        if self.tls is not None and not self.tls.handshake_done:
-            return connection_phase.HANDSHAKE
-        if self.linger_started_at is not None or self.finished:
-            return connection_phase.CLOSING
-        if self.waiting_for_capacity:
-            return connection_phase.WAITING_FOR_CAPACITY
-        if self.response_pending:
-            return connection_phase.RESPONSE_PENDING
-        if self.unsent_bytes:
-            return connection_phase.WRITING_RESPONSE
-        if self.current_request is not None:
-            return connection_phase.READING_BODY
-        if not self.input.parser.is_idle or not self.request_count:
-            return connection_phase.READING_HEAD
-        return connection_phase.IDLE
-
-    @property
-    def is_lingering(self) -> bool:
-        """Whether the last response was sent, and the connection only waits for the peer to close."""
-        return self.linger_started_at is not None and not self.unsent_bytes
-
-    @property
-    def has_outstanding_response(self) -> bool:
-        """Whether a request was accepted or a response is incomplete; an incomplete request does not count."""
-        return self.phase in connection_phase.RESPONSE_PHASES and not self.is_lingering
-
-    @property
-    def had_complete_request(self) -> bool:
-        """Whether at least one request on this connection was complete."""
-        return self.request_count > 1 or (
-            self.request_count == 1 and (self.current_request is None or self.request_complete)
-        )
-
 
 def _next_grant_bytes(request: RequestContext) -> int:
     """Return the body bytes to request capacity for next: the whole body, or one step if its length is unknown."""
--- a/linnetstile/net/server_limits.py
+++ b/linnetstile/net/server_limits.py
@@ -1,15 +1,13 @@
-"""Limits on a server's connections: their number, their idle time and their speed; finds the limit that is exceeded."""
+"""Finds the limit that a connection exceeds: on idle time, on speed, on the time of a request."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from . import connection_phase
 from .connection_phase import ConnectionPhase
-
-if TYPE_CHECKING:
-    from .server_connection import ServerConnection
+from .request_connection import RequestConnection
+from .server_settings import ServerLimits
 
 # Time for which further input is dropped before closing, so that the peer can read why its request was rejected.
 LINGER_TIMEOUT_S = 2.0
@@ -37,26 +35,7 @@
     return COUNTER_PREFIX + limit
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Limits of one listener: times in seconds, rates in bytes a second (0 = none).
-
-    A connection that exceeds one of them is closed.
-    """
-
-    max_connections: int = 4096
-    head_timeout_s: float = 10.0  # for a TLS handshake, and for a head (on a new connection: since its start)
-    idle_timeout_s: float = 60.0  # between two requests
-    min_body_rate: float = 0.0  # minimum rate at which a body is sent
-    min_response_rate: float = 0.0  # minimum rate at which a response is read
-    rate_grace_s: float = 5.0  # stall that the minimum rates allow
-    max_pipelined_events: int = 32  # events behind an unanswered request; 512 unparsed bytes count as one
-    max_unsent_bytes: int = 256 * 1024  # bytes of responses not read by the peer, above which its input is not read
-    max_input_bytes: int = 0  # received bytes of incomplete and waiting requests, over all connections; 0 = no limit
-    sweep_interval_s: float = 1.0  # how often the limits are checked
-
-
-def violated_limit(connection: ServerConnection, now: float) -> str:
+def violated_limit(connection: RequestConnection, now: float) -> str:
     """Update the rate meters of a connection; return the name of the limit that it exceeds, or an empty string.
 
     Args:
@@ -79,7 +58,7 @@
     return _violated_timeout(phase, now - connection.phase_started_at, connection.server.limits)
 
 
-def _body_deadline_passed(connection: ServerConnection, now: float) -> bool:
+def _body_deadline_passed(connection: RequestConnection, now: float) -> bool:
     """Whether the body of the current request is still incomplete after its deadline."""
     request = connection.current_request
     if request is None or connection.response_pending:
--- a/tests/faults/test_slow_clients.py
+++ b/tests/faults/test_slow_clients.py
@@ -84,7 +84,7 @@
     size = 8 * 2**20
     evicted: list[tuple[str, bool]] = []
 
-    def record_eviction(connection: server.ServerConnection, limit: str) -> None:
+    def record_eviction(connection: server.RequestConnection, limit: str) -> None:
         evicted.append((limit, connection.unsent_bytes > 0))
 
     listener = server.Server(
--- a/tests/net/test_server_limits.py
+++ b/tests/net/test_server_limits.py
@@ -15,7 +15,7 @@
 from linnetstile.engine.attempt_outcome import WireResult
 from linnetstile.net import client, client_pool, server_limits
 from linnetstile.net.periodic_timers import PeriodicTimers
-from linnetstile.net.server import RequestContext, Server, ServerLimits
+from linnetstile.net.server import RequestConnection, RequestContext, Server, ServerLimits
 from linnetstile.net.server_connection import EVENTS_PER_PASS, ServerConnection
 from linnetstile.net.server_limits import LINGER_TIMEOUT_S
 
@@ -80,13 +80,13 @@
     asyncio.run(run())
 
 
-def expire_body(connection: ServerConnection) -> None:
+def expire_body(connection: RequestConnection) -> None:
     """Let the deadline of the body of the current request have passed."""
     if connection.current_request is not None:
         connection.current_request.body_deadline = connection.server.loop.time() - 1.0
 
 
-def expire_linger(connection: ServerConnection) -> None:
+def expire_linger(connection: RequestConnection) -> None:
     """Let the last response have been written for longer than the connection is kept."""
     if connection.linger_started_at is not None:
         connection.linger_started_at -= LINGER_TIMEOUT_S + 1
@@ -122,9 +122,9 @@
 ) -> None:
     # Guards against the end of all time limits: the checks set their next timer in their last line.
     original = server_limits.violated_limit
-    broken: list[ServerConnection] = []
+    broken: list[RequestConnection] = []
 
-    def violated_limit(connection: ServerConnection, now: float) -> str:
+    def violated_limit(connection: RequestConnection, now: float) -> str:
         if not broken:
             broken.append(connection)
             raise KeyError("state of this connection")
