--- a/tests/platform_relay/test_memory.py
+++ b/tests/platform_relay/test_memory.py
@@ -4,99 +4,19 @@
 
 import asyncio
 import contextlib
-import json
-import os
-import socket
-import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
-from .http_messages import READY_REQUEST, Connection, request_status, submission
+from .http_messages import READY_REQUEST, request_status, submission
+from .relay_process import MEMORY_MB, RelayProcess, relay_process
 from .relay_testbed import RelayTestbed, run_scenario, wait_until
 
-# The least memory and the most descriptors that the platform's pages name for a relay.
-MEMORY_MB = 32
-SOCKETS = 1024
 CLIENTS = 300
-BYTES_PER_KIB = 1024
 BYTES_PER_MB = 1e6
 
 
-@dataclass
-class RelayProcess:
-    """A relay in a process of its own."""
-
-    process: asyncio.subprocess.Process
-    port: int
-    state_folder: Path
-
-    def peak_bytes(self) -> int:
-        """Return the highest resident memory so far, with the files that the relay keeps."""
-        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
-        fields = dict(line.split(":", 1) for line in status.splitlines())
-        files = sum(path.stat().st_size for path in self.state_folder.iterdir())
-        return int(fields["VmHWM"].split()[0]) * BYTES_PER_KIB + files
-
-    async def connect(self) -> Connection:
-        return await asyncio.open_connection("127.0.0.1", self.port)
-
-    async def status_of(self, request: bytes) -> int:
-        """Return the status of the response to a request on a new connection; 0 if it was closed without one."""
-        reader, writer = await self.connect()
-        try:
-            writer.write(request)
-            async with asyncio.timeout(5.0):
-                line = await reader.readline()
-        except ConnectionError:
-            return 0
-        finally:
-            writer.close()
-        return int(line.split()[1]) if line else 0
-
-
-def free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
-@contextlib.asynccontextmanager
-async def relay_process(testbed: RelayTestbed, folder: Path) -> AsyncIterator[RelayProcess]:
-    """Start a relay with the least memory, at the testbed's discovery, and wait until it is ready."""
-    host, discovery_port = await testbed.start_discovery()
-    port = free_port()
-    settings = {**testbed.settings, "limits": {**testbed.settings["limits"], "open-cap": 100_000}}
-    config = {
-        "name": "n0",
-        "listen": f"127.0.0.1:{port}",
-        "discovery": f"{host}:{discovery_port}",
-        "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB, "disk_mb": 3},
-        "settings": settings,
-    }
-    path = folder / "config.json"
-    path.write_text(json.dumps(config))
-    state_folder = folder / "state"
-    environment = {**os.environ, "GW_CONFIG": str(path), "GW_STATE": str(state_folder)}
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "linnetstile.platform_relay", env=environment, stderr=asyncio.subprocess.DEVNULL
-    )
-    relay = RelayProcess(process, port, state_folder)
-    try:
-        async with asyncio.timeout(20.0):
-            while True:
-                with contextlib.suppress(OSError):
-                    if await relay.status_of(READY_REQUEST) == 200:
-                        break
-                await asyncio.sleep(0.05)
-        yield relay
-    finally:
-        process.kill()
-        await process.wait()
-
-
 async def stop_in_the_middle_of_a_body(relay: RelayProcess, writer: asyncio.StreamWriter, number: int) -> None:
     writer.write(submission(f"half{number}", body=b"x" * 60_000, Content_Length="65536"))
     await writer.drain()
