The first message in order does not load OpenSSL after the memory has been divided

Seen on reading the change once more: resource_limits reads the resident memory at the start, and intake loaded hashlib, and with it OpenSSL (4 MB), with the first message of a class in order. Cause: ordering_key_number imported hashlib when it was first called. Change: blake2b comes from the module that hashlib itself takes it from; hashlib where there is none. The key numbers are the same. Test: a process that has numbered a key has loaded neither _ssl nor _hashlib (failed before), and the number of a key.

--- a/linnetstile/platform_relay/intake.py
+++ b/linnetstile/platform_relay/intake.py
@@ -19,6 +19,11 @@
 from .records import JournaledMessage, MessageFields
 from .submission import Submission
 
+try:
+    from _blake2 import blake2b  # what hashlib gives, without OpenSSL, which takes 4 MB that no limit accounts for
+except ImportError:
+    from hashlib import blake2b
+
 ORDERING_KEY_BYTES = 7  # size of the digest: the digest plus 1 fits into 64 bits
 
 
@@ -30,9 +35,7 @@
     key = ordering_key or idempotency_key
     if not message_class.in_order or not key:
         return 0
-    import hashlib  # loads OpenSSL, and only classes in order need it
-
-    digest = hashlib.blake2b(key.encode(), digest_size=ORDERING_KEY_BYTES).digest()
+    digest = blake2b(key.encode(), digest_size=ORDERING_KEY_BYTES).digest()
     return int.from_bytes(digest, "big") + 1
 
 
--- a/tests/platform_relay/test_memory.py
+++ b/tests/platform_relay/test_memory.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -140,3 +142,22 @@
         assert all(len(connection.get_buffer(-1)) <= 2048 for connection in connections)
 
     run_scenario(tmp_path, scenario)
+
+
+LOAD_RELAY = """
+import sys
+sys.modules["ssl"] = None
+import linnetstile.platform_relay.process
+from linnetstile.engine.settings import Effect, MessageClass
+from linnetstile.platform_relay.intake import ordering_key_number
+in_order = MessageClass("c", Effect.IDEMPOTENT, latency_objective_ms=1.0, deadline_ms=1.0, in_order=True)
+print(ordering_key_number("key", "", in_order), *sys.modules)
+"""
+
+
+def test_process_of_a_relay_does_not_load_openssl() -> None:
+    # Guards against 5 MB of each process, and 4 MB with the first message in order, after the memory has been divided.
+    output = subprocess.run([sys.executable, "-c", LOAD_RELAY], capture_output=True, text=True, check=True).stdout
+    key_number, *modules = output.split()
+    assert not {"_ssl", "_hashlib"} & set(modules)
+    assert int(key_number) == 0x9EEDF9D456CDD0
