--- a/linnetstile/as2_relay/admission.py
+++ b/linnetstile/as2_relay/admission.py
@@ -10,7 +10,6 @@
 from ..config.relay import LimitSettings
 from ..engine.fair_share import BYTES, AdmissionDecision, FairShare, Reservation
 from ..engine.slow_partners import SLOW_PARTNER_WEIGHT, SlowPartnerDetector
-from ..net.fault_boundary import FaultBoundary
 from ..net.periodic_timers import PeriodicTimers
 from ..net.server import RequestContext
 from ..telemetry import log_events
@@ -21,6 +20,7 @@
 SLOW_PARTNER_CHECK_S = 0.25
 FULL_FRACTION = 0.99  # in logs, `hold_bytes` is the binding limit if at least this fraction of it is in use
 MIN_TIMER_S = 0.001
+WAITING_REQUEST = "a request that waited for memory"  # in the log, if its next step raises an exception
 
 RejectHandler = Callable[[RequestContext, str, float], None]
 
@@ -203,20 +203,13 @@
         for request in result.granted:
             assert isinstance(request, RequestContext)
             self.waiting.pop(request, None)
-            self._run_or_abort(request, request.resume_body)
+            request.connection.run_or_abort(WAITING_REQUEST, request.resume_body)
         for request in result.expired:
             assert isinstance(request, RequestContext)
-            self._run_or_abort(request, partial(self._reject, request, self.waiting.pop(request, 0)))
+            reject = partial(self._reject, request, self.waiting.pop(request, 0))
+            request.connection.run_or_abort(WAITING_REQUEST, reject)
         self._schedule_expiry()
 
-    @staticmethod
-    def _run_or_abort(request: RequestContext, step: Callable[[], None]) -> None:
-        """Run the next step of one of several requests; its connection is aborted if that raises an exception."""
-        with FaultBoundary("a request that waited for memory") as boundary:
-            step()
-        if boundary.failed:
-            request.connection.transport.abort()
-
     def _check_slow_partners(self) -> None:
         for partner in self.slow_partners.update(self.now_ms):
             is_slow = partner.slow_since is not None
--- a/linnetstile/net/client_pool.py
+++ b/linnetstile/net/client_pool.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from ..codec import http1
 from ..engine.attempt_outcome import WireResult
@@ -299,10 +300,7 @@
             self._close(connection)
         now_ms = self.loop.time() * 1000
         for connection in list(self.connections):
-            with FaultBoundary("a check of a call's rates") as boundary:
-                self._abort_if_slow(connection, now_ms)
-            if boundary.failed:
-                connection.transport.abort()
+            connection.run_or_abort("a check of a call's rates", partial(self._abort_if_slow, connection, now_ms))
 
     def _abort_if_slow(self, connection: ClientConnection, now_ms: float) -> None:
         violated_rate = connection.violated_rate(now_ms)
--- a/linnetstile/net/connection.py
+++ b/linnetstile/net/connection.py
@@ -7,9 +7,11 @@
 import socket
 from asyncio.trsock import TransportSocket
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol, cast
 
 from ..engine.minimum_rate import MinimumRateMeter
+from .fault_boundary import FaultBoundary
 from .receive_buffer import LARGE_BUFFER, SMALL_BUFFER
 
 # Maximum size of a write to the transport, which copies the bytes that the kernel does not accept.
@@ -165,6 +167,18 @@
         if not self.write_queue and not self.is_closing:
             self.transport.close()
 
+    def run_or_abort(self, work: str, step: Callable[[], None]) -> None:
+        """Run a step of this connection; abort the connection if the step raises an unexpected exception.
+
+        Args:
+            work: What the step does, for the log.
+            step: The step.
+        """
+        with FaultBoundary(work) as boundary:
+            step()
+        if boundary.failed:
+            self.transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Clear the write queue after the end of the connection. Called by asyncio."""
         self.is_lost = True
--- a/linnetstile/net/engine_loop.py
+++ b/linnetstile/net/engine_loop.py
@@ -61,7 +61,6 @@
         timer: The engine's timer that was set last.
         on_turn_failed: Called after a turn that raised an exception, with the engine restarted: passes what the relay
             knows to the engine again.
-        turns_failed: Number of turns that raised an exception.
         recovery_policy: Decides how to go on after such a turn.
     """
 
@@ -74,7 +73,6 @@
         self.engine = engine
         self.carry_out = carry_out
         self.on_turn_failed = on_turn_failed
-        self.turns_failed = 0
         self.recovery_policy = TurnRecoveryPolicy()
         self.loop = asyncio.get_running_loop()
         self.events: list[PostedEvent] = []
@@ -109,7 +107,6 @@
 
     def _restart_engine(self) -> None:
         """Restart the engine after a failed turn; posted events are dropped, as the relay passes all it knows again."""
-        self.turns_failed += 1
         self.stop()
         self.events = []
         self.engine.restart()
--- a/linnetstile/net/server.py
+++ b/linnetstile/net/server.py
@@ -11,13 +11,13 @@
 import os
 import socket
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..codec import http1
 from . import connection_phase, server_limits
 from .connection_phase import ConnectionPhase
 from .connection_registry import ConnectionRegistry
-from .fault_boundary import FaultBoundary
 from .input_memory import InputMemory
 from .periodic_timers import PeriodicTimers
 from .request_connection import AdmitCallback, ErrorCallback, Handler, RequestConnection, RequestContext
@@ -176,10 +176,7 @@
     ) -> None:
         """Call a function with each connection; one for which it raises an exception is aborted."""
         for connection in connections:
-            with FaultBoundary(work) as boundary:
-                function(connection)
-            if boundary.failed:
-                connection.transport.abort()
+            connection.run_or_abort(work, partial(function, connection))
 
     def account_input(self, connection: RequestConnection) -> None:
         """Account for the received bytes that a connection holds; reject incomplete requests if all hold too many."""
--- a/linnetstile/net/server_connection.py
+++ b/linnetstile/net/server_connection.py
@@ -9,7 +9,6 @@
 import asyncio
 
 from ..codec import http1
-from .fault_boundary import FaultBoundary
 from .request_connection import SMALL_BODY_BYTES, RequestConnection, RequestContext
 from .request_rejection import reject_malformed
 
@@ -29,10 +28,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, or close it if the server is full. Called by asyncio."""
         super().connection_made(transport)
-        with FaultBoundary("a new connection") as boundary:
-            self._register()
-        if boundary.failed:
-            self.transport.abort()
+        self.run_or_abort("a new connection", self._register)
 
     def _register(self) -> None:
         self.host = self.peer_host()
@@ -148,10 +144,7 @@
         """
         if self._has_left_requests_behind:
             self.transport.abort()
-        with FaultBoundary("a request") as boundary:
-            self._process_events()
-        if boundary.failed:
-            self.transport.abort()
+        self.run_or_abort("a request", self._process_events)
 
     @property
     def _has_left_requests_behind(self) -> bool:
--- a/linnetstile/platform_relay/directory.py
+++ b/linnetstile/platform_relay/directory.py
@@ -40,6 +40,11 @@
     def __contains__(self, endpoint_id: int) -> bool:
         return self.table.record_of(endpoint_id) is not None
 
+    def endpoints(self) -> Iterator[Endpoint]:
+        """Iterate over all endpoints as the engine uses them. No list may be applied during the iteration."""
+        found = map(self.endpoint, self)
+        return (endpoint for endpoint in found if endpoint is not None)
+
     def records(self) -> Iterator[bytes]:
         """Iterate over the records of all endpoints. No list may be applied during the iteration."""
         return (record for record in self.table.records if record is not None)
--- a/linnetstile/platform_relay/turn_recovery.py
+++ b/linnetstile/platform_relay/turn_recovery.py
@@ -8,16 +8,16 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
-from ..engine.events import Endpoint, EndpointList, Event, ListKind
+from ..engine.events import EndpointList, Event, ListKind
 from ..engine.turn_recovery import TurnRecoveryPlan
-from ..engine.watch_policy import ENTRIES_PER_EVENT
 from ..net.fault_boundary import FaultBoundary
 from . import clock, counters, log_events
 from .accepted import AcceptedMessage, AcceptedMessages
 from .delivery import Delivery
 from .directory import Directory
+from .discovery import change_events
 from .intake import Intake
 from .log_events import EventLog
 from .recovery import Recovery
@@ -25,19 +25,6 @@
 from .shutdown import GracefulShutdown
 
 
-def list_events(directory: Directory) -> Iterator[EndpointList]:
-    """Yield all listed endpoints as events of bounded size; at least one event."""
-    endpoints: list[Endpoint] = []
-    for endpoint_id in directory:
-        endpoint = directory.endpoint(endpoint_id)
-        if endpoint is not None:
-            endpoints.append(endpoint)
-        if len(endpoints) == ENTRIES_PER_EVENT:
-            yield EndpointList(ListKind.CHANGES, tuple(endpoints))
-            endpoints.clear()
-    yield EndpointList(ListKind.CHANGES, tuple(endpoints))
-
-
 class TurnRecovery:
     """Restores the state of the engine after a failed turn."""
 
@@ -92,7 +79,9 @@
             self._resume_or_end(message, plan)
 
     def _post_list(self) -> None:
-        for event in list_events(self._directory):
+        """Pass all listed endpoints to the engine; the empty event says that there is a list, even without any."""
+        self._post_event(EndpointList(ListKind.CHANGES))
+        for event in change_events(self._directory.endpoints()):
             self._post_event(event)
 
     def _resume_or_end(self, message: AcceptedMessage, plan: TurnRecoveryPlan) -> None:
--- a/tests/platform_relay/test_list_store.py
+++ b/tests/platform_relay/test_list_store.py
@@ -12,8 +12,8 @@
 
 from .http_messages import request_status, submission
 from .list_factories import list_entry
+from .relay_process import free_port
 from .relay_testbed import RelayTestbed, run_scenario, wait_until, wait_until_idle, with_state
-from .test_process import free_port
 
 MAX_BYTES = 10_000
 ENTRIES = [
--- a/tests/platform_relay/test_process.py
+++ b/tests/platform_relay/test_process.py
@@ -16,6 +16,7 @@
 
 from .http_messages import READY_REQUEST, submission
 from .list_factories import list_entry
+from .relay_process import free_port
 from .relay_testbed import SETTINGS
 
 VALID_CONFIG: dict[str, Any] = {
@@ -39,12 +40,6 @@
     )
 
 
-def free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
 def connect(port: int, timeout_s: float) -> socket.socket:
     return socket.create_connection(("127.0.0.1", port), timeout=timeout_s)
 
